--- /dev/null
+++ b/Makefile
@@ -0,0 +1,54 @@
+BUILD ?= build
+BUILD_TYPE ?= RelWithDebInfo
+SANITIZER ?=
+JOBS ?= $(shell nproc)
+export PATH := /usr/lib/ccache:$(PATH)
+
+.PHONY: all packages build test unit-test integration-test lint format-check tidy demo bench clean \
+        test-asan test-ubsan test-tsan
+
+all: build
+
+packages:
+	@cmake/install_packages.sh
+
+build: packages
+	@cmake -G Ninja -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) -DWAXWINGWING_SANITIZER=$(SANITIZER) >/dev/null
+	@ninja -C $(BUILD) -j $(JOBS)
+
+# Everything that CI runs but lint.
+test: build
+	@tests/run_tests.sh $(BUILD)
+
+unit-test: build
+	@$(BUILD)/tests/unit_tests
+
+integration-test: build
+	@tests/run_tests.sh $(BUILD) integration
+
+format-check: packages
+	@git ls-files -co --exclude-standard '*.h' '*.cc' | xargs clang-format --dry-run -Werror
+
+tidy: build
+	@git ls-files -co --exclude-standard '*.cc' | grep -v catch_main.cc | \
+	  xargs -P $(JOBS) -n 1 cmake/run_clang_tidy.sh $(BUILD)
+
+lint: format-check tidy
+
+demo: build
+	@tests/demo.sh $(BUILD)
+
+bench: build
+	@bench/run_bench.sh $(BUILD)
+
+test-asan:
+	@$(MAKE) --no-print-directory unit-test BUILD=build-asan SANITIZER=address BUILD_TYPE=Debug
+
+test-ubsan:
+	@$(MAKE) --no-print-directory unit-test BUILD=build-ubsan SANITIZER=undefined BUILD_TYPE=Debug
+
+test-tsan:
+	@$(MAKE) --no-print-directory unit-test BUILD=build-tsan SANITIZER=thread BUILD_TYPE=Debug
+
+clean:
+	@rm -rf build build-asan build-ubsan build-tsan
--- /dev/null
+++ b/cmake/empty.cc
@@ -0,0 +1,1 @@
+// Lets a module consist of headers only.
--- /dev/null
+++ b/include/waxwingwing/admission/backend_budget.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <utility>
+
+#include "waxwingwing/core/units.h"
+
+namespace waxwingwing {
+
+/// What this entry VM may hold at one replica or plain service, and what it holds now.
+///
+/// The control thread sets the limits (static share plus credits that have not expired); request
+/// threads acquire and release. All members are safe for use by several threads.
+class backend_budget {
+ public:
+  struct usage {
+    request_count requests;
+    token_count kv_tokens;
+  };
+
+  backend_budget() = default;
+  backend_budget(const backend_budget&) = delete;
+  backend_budget& operator=(const backend_budget&) = delete;
+
+  void SetLimits(request_count requests, token_count kv_tokens) {
+    request_limit_.store(requests.get(), std::memory_order_release);
+    kv_limit_.store(kv_tokens.get(), std::memory_order_release);
+  }
+
+  /// Takes one request and its KV tokens; false when either limit would be exceeded.
+  bool TryAcquire(token_count kv_tokens);
+  void Release(token_count kv_tokens);
+
+  usage InUse() const;
+  usage Limits() const;
+  /// Requests that found no room since the last call; the credit controller asks for more then.
+  std::uint32_t TakeUnmetDemand() { return unmet_.exchange(0, std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::uint32_t> request_limit_{0};
+  std::atomic<std::uint64_t> kv_limit_{0};
+  std::atomic<std::uint32_t> requests_{0};
+  std::atomic<std::uint64_t> kv_tokens_{0};
+  std::atomic<std::uint32_t> unmet_{0};
+};
+
+/// Permit to send one request to a backend server; gives its share of the budget back when it is
+/// destroyed.
+class admission_ticket {
+ public:
+  static std::optional<admission_ticket> TryAcquire(std::shared_ptr<backend_budget> budget,
+                                                    token_count kv_tokens);
+
+  admission_ticket(admission_ticket&& other) noexcept = default;
+  admission_ticket& operator=(admission_ticket&& other) noexcept;
+  admission_ticket(const admission_ticket&) = delete;
+  admission_ticket& operator=(const admission_ticket&) = delete;
+  ~admission_ticket();
+
+  token_count kv_tokens() const { return kv_tokens_; }
+
+ private:
+  admission_ticket(std::shared_ptr<backend_budget> budget, token_count kv_tokens)
+      : budget_(std::move(budget)), kv_tokens_(kv_tokens) {}
+
+  std::shared_ptr<backend_budget> budget_;
+  token_count kv_tokens_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/include/waxwingwing/core/units.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+#include "waxwingwing/core/strong_type.h"
+
+namespace waxwingwing {
+
+using byte_count = strong_number<struct byte_count_tag>;
+using token_count = strong_number<struct token_count_tag>;
+
+/// Number of requests held or allowed at a time.
+using request_count = strong_number<struct request_count_tag, std::uint32_t>;
+
+using milliseconds = std::chrono::milliseconds;
+using microseconds = std::chrono::microseconds;
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/tests/unit/catch_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
