admission: bound what entry VMs hold at a backend server in sum

Cause: a limit kept by each entry VM alone is passed as soon as two of them send at once. Change: half of each limit is split over roster slots, the rest is granted as credits that live 3 s; a new grantor waits one time to live and counts what the backend server reports until every node has reported its use. Waiting requests are queued by organisation, priority and share. Conclusion: the sum holds in the model; real processes come next.

--- a/include/waxwingwing/admission/admission_queue.h
+++ b/include/waxwingwing/admission/admission_queue.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <utility>
+#include <vector>
 
 #include "waxwingwing/config/configuration.h"
 #include "waxwingwing/core/clock.h"
@@ -71,8 +72,10 @@
 
   using queue_key = std::pair<std::uint32_t, organisation_id>;
 
+  bool HasWaiting(std::uint32_t lowest_priority) const;
   bool DispatchOne(time_point now);
   bool ServeFront(organisation_queue& queue, time_point now);
+  void AdvanceTurn(const std::vector<queue_key>& order, const queue_key& served);
   milliseconds EstimatedWait(std::uint32_t priority) const;
   void RecordPlacement(time_point now);
 
--- /dev/null
+++ b/src/admission/credit_ledger.cc
@@ -0,0 +1,126 @@
+#include "waxwingwing/admission/credit_ledger.h"
+
+#include <algorithm>
+
+namespace waxwingwing {
+
+namespace {
+
+backend_amount Max(backend_amount left, backend_amount right) {
+  return {std::max(left.requests, right.requests), std::max(left.kv_tokens, right.kv_tokens)};
+}
+
+backend_amount Min(backend_amount left, backend_amount right) {
+  return {std::min(left.requests, right.requests), std::min(left.kv_tokens, right.kv_tokens)};
+}
+
+backend_amount Sum(backend_amount left, backend_amount right) {
+  return {left.requests + right.requests, left.kv_tokens + right.kv_tokens};
+}
+
+backend_amount Remainder(backend_amount from, backend_amount taken) {
+  const backend_amount bounded = Min(from, taken);
+  return {from.requests - bounded.requests, from.kv_tokens - bounded.kv_tokens};
+}
+
+/// How long the grantor counts a grant: longer than the node by twice the clock-rate error of 1%.
+constexpr milliseconds kGrantHold = kCreditTimeToLive + kCreditTimeToLive / 50;
+
+/// A node whose last request is older than this no longer competes for credits.
+constexpr milliseconds kDemandTimeout{2000};
+
+}  // namespace
+
+backend_amount credit_ledger::node_account::Reserved(time_point now) const {
+  // Grants count beyond their end until the next report: the node may have filled them just before.
+  const bool may_hold = now < std::max(granted_until, earlier_until) + kLongestRequest;
+  return may_hold ? Max(used, Max(granted, earlier)) : backend_amount{};
+}
+
+void credit_ledger::node_account::KeepEarlierGrants(time_point now) {
+  if (now >= earlier_until) earlier = {};
+  if (now < granted_until) {
+    earlier = Max(earlier, granted);
+    earlier_until = std::max(earlier_until, granted_until);
+  }
+  granted = {};
+  granted_until = now;
+}
+
+void credit_ledger::SetPool(generation member_generation, incarnation server, backend_amount pool) {
+  pool_ = pool;
+  if (member_generation == generation_ && server == incarnation_) return;
+  generation_ = member_generation;
+  incarnation_ = server;
+  nodes_.clear();
+  unreported_.clear();
+  held_ = {};
+}
+
+void credit_ledger::BeginTerm(time_point now) {
+  nodes_.clear();
+  grants_from_ = now + kGrantHold;
+  term_settled_ = false;
+  unreported_.clear();
+}
+
+void credit_ledger::SetHeld(backend_amount held, const std::set<vm_id>& nodes) {
+  held_ = held;
+  if (term_settled_) return;
+  unreported_.clear();
+  for (const vm_id& node : nodes) {
+    if (!nodes_.contains(node)) unreported_.insert(node);
+  }
+  term_settled_ = unreported_.empty() && !nodes.empty();
+}
+
+backend_amount credit_ledger::Grant(const vm_id& node, backend_amount wanted, backend_amount used,
+                                    time_point now) {
+  node_account& account = nodes_[node];
+  unreported_.erase(node);
+  account.used = used;
+  account.wanted = wanted;
+  account.reported_at = now;
+  if (now < grants_from_) return {};
+
+  const backend_amount share = FairShare(node, wanted, now);
+  account.KeepEarlierGrants(now);
+  const backend_amount others = Remainder(Reserved(now), account.Reserved(now));
+  account.granted = Min(share, Remainder(pool_, Sum(others, UnreportedHold())));
+  account.granted_until = now + kGrantHold;
+  return account.granted;
+}
+
+void credit_ledger::ForgetNode(const vm_id& node) {
+  nodes_.erase(node);
+  unreported_.erase(node);
+}
+
+backend_amount credit_ledger::Reserved(time_point now) const {
+  backend_amount total;
+  for (const auto& [node, account] : nodes_) total = Sum(total, account.Reserved(now));
+  return total;
+}
+
+backend_amount credit_ledger::FairShare(const vm_id& node, backend_amount wanted,
+                                        time_point now) const {
+  std::uint32_t competitors = 1;
+  backend_amount others_wanted;
+  for (const auto& [other, account] : nodes_) {
+    if (other == node || now > account.reported_at + kDemandTimeout) continue;
+    if (account.wanted.requests.get() == 0) continue;
+    ++competitors;
+    others_wanted = Sum(others_wanted, account.wanted);
+  }
+  const backend_amount equal = {request_count(pool_.requests.get() / competitors),
+                                token_count(pool_.kv_tokens.get() / competitors)};
+  // A node may have more than an equal share as far as the others do not want theirs.
+  const backend_amount unwanted = Remainder(pool_, others_wanted);
+  return Min(wanted, Max(Max(equal, unwanted), {request_count(1), equal.kv_tokens}));
+}
+
+backend_amount credit_ledger::UnreportedHold() const {
+  return term_settled_ ? backend_amount{} : held_;
+}
+
+}  // namespace waxwingwing
