--- /dev/null
+++ b/include/waxwingwing/membership/peer_table.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/ids.h"
+#include "waxwingwing/membership/vm_entry.h"
+
+namespace waxwingwing {
+
+/// A peer that was not heard for longer counts as dead.
+inline constexpr milliseconds kPeerLifetime{2000};
+/// Peers in each other failure domain that receive this node's status directly.
+inline constexpr std::size_t kBridgesPerDomain = 2;
+
+/// What a peer last said about itself.
+struct peer_status {
+  vm_id vm;
+  failure_domain_id failure_domain;
+  waxwingwing::incarnation incarnation;
+  log_offset control_offset;
+  bool draining = false;
+};
+
+/// The other entry VMs: where they are, what they last said and when.
+///
+/// The VM list gives the addresses, status messages give the rest. Owned by the control thread.
+class peer_table {
+ public:
+  struct peer {
+    vm_id vm;
+    failure_domain_id failure_domain;
+    std::string address;
+    /// Empty until the peer was heard.
+    std::optional<time_point> last_heard;
+    waxwingwing::incarnation incarnation;
+    log_offset control_offset;
+    bool draining = false;
+    /// Incarnation before the current one; its late messages are ignored.
+    std::optional<waxwingwing::incarnation> previous_incarnation;
+  };
+
+  peer_table(vm_id own_vm, failure_domain_id own_domain);
+
+  /// Takes over the entry VMs of the VM list and forgets peers that left it.
+  void SetListed(const std::vector<vm_entry>& vms);
+  /// Records a status that is `age` old; false when it is of a superseded incarnation, of this
+  /// node itself or of a VM that is not listed.
+  bool Hear(const peer_status& status, milliseconds age, time_point now);
+  /// This node's own drain state; a draining node polls only when no other can.
+  void SetOwnDraining(bool draining) { own_draining_ = draining; }
+
+  const peer* Find(const vm_id& vm) const;
+  const std::map<vm_id, peer>& peers() const { return peers_; }
+  bool IsLive(const vm_id& vm, time_point now) const;
+  /// Live peers of every domain, by id; without this node.
+  std::vector<vm_id> LivePeers(time_point now) const;
+  /// Live members of this node's domain that may poll, with this node; without draining ones unless
+  /// all are.
+  std::vector<vm_id> LivePollers(time_point now) const;
+
+  /// Two live peers in each other domain, by rendezvous hashing with this node as key.
+  std::vector<vm_id> SelectBridges(time_point now) const;
+  /// Peers to which a status of `origin` that arrived from `sender` is passed on: the live ones of
+  /// this domain when it came directly from another domain, otherwise none.
+  std::vector<vm_id> SelectForwardTargets(const vm_id& origin, const vm_id& sender,
+                                          time_point now) const;
+
+ private:
+  bool IsLive(const peer& candidate, time_point now) const;
+
+  const vm_id own_vm_;
+  const failure_domain_id own_domain_;
+  bool own_draining_ = false;
+  std::map<vm_id, peer> peers_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/membership/peer_table.cc
@@ -0,0 +1,109 @@
+#include "waxwingwing/membership/peer_table.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "waxwingwing/membership/rendezvous.h"
+
+namespace waxwingwing {
+
+peer_table::peer_table(vm_id own_vm, failure_domain_id own_domain)
+    : own_vm_(std::move(own_vm)), own_domain_(std::move(own_domain)) {}
+
+void peer_table::SetListed(const std::vector<vm_entry>& vms) {
+  std::set<vm_id> listed;
+  for (const vm_entry& vm : vms) {
+    if (vm.role != vm_role::kEntry || vm.id == own_vm_) continue;
+    listed.insert(vm.id);
+    peer& held = peers_[vm.id];
+    held.vm = vm.id;
+    held.failure_domain = vm.failure_domain;
+    held.address = vm.address;
+  }
+  std::erase_if(peers_, [&](const auto& item) { return !listed.contains(item.first); });
+}
+
+bool peer_table::Hear(const peer_status& status, milliseconds age, time_point now) {
+  const auto found = peers_.find(status.vm);
+  if (found == peers_.end()) return false;
+  peer& held = found->second;
+  if (held.previous_incarnation == status.incarnation) return false;
+  const time_point heard_at = now - age;
+  if (held.last_heard && held.incarnation == status.incarnation) {
+    held.last_heard = std::max(*held.last_heard, heard_at);
+    held.control_offset = std::max(held.control_offset, status.control_offset);
+    // A process that has begun to drain never goes back, so an older message cannot clear it.
+    held.draining = held.draining || status.draining;
+    return true;
+  }
+  if (held.last_heard) held.previous_incarnation = held.incarnation;
+  held.incarnation = status.incarnation;
+  held.last_heard = heard_at;
+  held.control_offset = status.control_offset;
+  held.draining = status.draining;
+  return true;
+}
+
+const peer_table::peer* peer_table::Find(const vm_id& vm) const {
+  const auto found = peers_.find(vm);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+bool peer_table::IsLive(const peer& candidate, time_point now) const {
+  return candidate.last_heard && now - *candidate.last_heard <= kPeerLifetime;
+}
+
+bool peer_table::IsLive(const vm_id& vm, time_point now) const {
+  if (vm == own_vm_) return true;
+  const peer* found = Find(vm);
+  return found != nullptr && IsLive(*found, now);
+}
+
+std::vector<vm_id> peer_table::LivePeers(time_point now) const {
+  std::vector<vm_id> live;
+  for (const auto& [id, candidate] : peers_) {
+    if (IsLive(candidate, now)) live.push_back(id);
+  }
+  return live;
+}
+
+std::vector<vm_id> peer_table::LivePollers(time_point now) const {
+  std::vector<vm_id> live{own_vm_};
+  std::vector<vm_id> staying;
+  if (!own_draining_) staying.push_back(own_vm_);
+  for (const auto& [id, candidate] : peers_) {
+    if (candidate.failure_domain != own_domain_ || !IsLive(candidate, now)) continue;
+    live.push_back(id);
+    if (!candidate.draining) staying.push_back(id);
+  }
+  return staying.empty() ? live : staying;
+}
+
+std::vector<vm_id> peer_table::SelectBridges(time_point now) const {
+  std::map<failure_domain_id, std::vector<vm_id>> by_domain;
+  for (const auto& [id, candidate] : peers_) {
+    if (candidate.failure_domain == own_domain_ || !IsLive(candidate, now)) continue;
+    by_domain[candidate.failure_domain].push_back(id);
+  }
+  std::vector<vm_id> bridges;
+  for (auto& [domain, members] : by_domain) {
+    const auto selected = SelectByRendezvous(std::move(members), own_vm_.str(), kBridgesPerDomain);
+    bridges.insert(bridges.end(), selected.begin(), selected.end());
+  }
+  return bridges;
+}
+
+std::vector<vm_id> peer_table::SelectForwardTargets(const vm_id& origin, const vm_id& sender,
+                                                    time_point now) const {
+  if (sender != origin) return {};
+  const peer* source = Find(origin);
+  if (source == nullptr || source->failure_domain == own_domain_) return {};
+  std::vector<vm_id> targets;
+  for (const auto& [id, candidate] : peers_) {
+    if (candidate.failure_domain == own_domain_ && IsLive(candidate, now)) targets.push_back(id);
+  }
+  return targets;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/membership/report_table.cc
@@ -0,0 +1,68 @@
+#include "waxwingwing/membership/report_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace waxwingwing {
+
+bool report_table::IsNewer(const backend_report& report, const backend_report& held,
+                           time_point now) {
+  if (report.incarnation == held.incarnation) return report.sequence > held.sequence;
+  const time_point started = report.taken_at - report.uptime;
+  const time_point held_started = held.taken_at - held.uptime;
+  if (started > held_started) return true;
+  // Start times are estimates. An expired report must not keep the current incarnation out when
+  // the estimates of two short runs are in the wrong order.
+  return now - held.taken_at > kReportLifetime && report.taken_at > held.taken_at;
+}
+
+bool report_table::Observe(const backend_report& report, time_point now) {
+  backend_report observed = report;
+  observed.taken_at = std::min(observed.taken_at, now);
+  const auto found = entries_.find(observed.vm);
+  if (found == entries_.end()) {
+    entries_.emplace(observed.vm, entry{observed, std::nullopt});
+    return true;
+  }
+  entry& held = found->second;
+  if (!IsNewer(observed, held.report, now)) return false;
+  if (held.suspect_since && observed.taken_at > *held.suspect_since) held.suspect_since.reset();
+  held.report = std::move(observed);
+  return true;
+}
+
+void report_table::Retain(const std::vector<vm_entry>& vms) {
+  std::set<vm_id> listed;
+  for (const vm_entry& vm : vms) listed.insert(vm.id);
+  std::erase_if(entries_, [&](const auto& item) { return !listed.contains(item.first); });
+}
+
+void report_table::MarkSuspect(const vm_id& vm, incarnation seen, time_point now) {
+  const auto found = entries_.find(vm);
+  if (found == entries_.end() || found->second.report.incarnation != seen) return;
+  found->second.suspect_since = now;
+}
+
+const backend_report* report_table::Find(const vm_id& vm) const {
+  const auto found = entries_.find(vm);
+  return found == entries_.end() ? nullptr : &found->second.report;
+}
+
+const backend_report* report_table::FindFresh(const vm_id& vm, time_point now) const {
+  const backend_report* report = Find(vm);
+  if (report == nullptr || now - report->taken_at > kReportLifetime) return nullptr;
+  return report;
+}
+
+std::optional<milliseconds> report_table::Age(const vm_id& vm, time_point now) const {
+  const backend_report* report = Find(vm);
+  if (report == nullptr) return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(now - report->taken_at);
+}
+
+bool report_table::IsSuspect(const vm_id& vm) const {
+  const auto found = entries_.find(vm);
+  return found != entries_.end() && found->second.suspect_since.has_value();
+}
+
+}  // namespace waxwingwing
