routing: add replica selection strategies and the retry budget

Cause: request threads need an order of the candidates for each request. Change: bounded_affinity, least_loaded, round_robin and entropy_weighted share the classes own domain, other domains and stragglers; the retry budget is a token bucket. Ruled out: the upper or mean median for stragglers, with which the slower of two candidates is never one; a pure factor of 1.25 as load bound, which disables affinity while a domain is almost idle, so the bound is at least one request above the mean.

--- /dev/null
+++ b/src/routing/entropy_weighted_selector.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include "waxwingwing/routing/replica_selector.h"
+
+namespace waxwingwing {
+
+/// Scores candidates by min-max normalised load indicators (reported running requests, KV use, time
+/// per token), weighted by the entropy weight method. Baseline for comparisons.
+class entropy_weighted_selector final : public replica_selector {
+ public:
+  std::vector<std::size_t> Rank(const selection_input& input) override;
+
+ private:
+  std::size_t turn_ = 0;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/routing/retry_budget.cc
@@ -0,0 +1,32 @@
+#include "waxwingwing/routing/retry_budget.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace waxwingwing {
+namespace {
+
+/// Ten additions of 0.1 give slightly less than 1; the tolerance keeps the nominal rate.
+constexpr double kTolerance = 1e-9;
+
+}  // namespace
+
+retry_budget::retry_budget(double fraction, double burst)
+    : fraction_(fraction), burst_(burst), balance_(burst) {
+  assert(fraction >= 0);
+  assert(burst >= 0);
+}
+
+void retry_budget::RecordRequest() {
+  const std::lock_guard lock(mutex_);
+  balance_ = std::min(burst_, balance_ + fraction_);
+}
+
+bool retry_budget::TryTake() {
+  const std::lock_guard lock(mutex_);
+  if (balance_ < 1 - kTolerance) return false;
+  balance_ -= 1;
+  return true;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/routing/round_robin_selector.cc
@@ -0,0 +1,12 @@
+#include "routing/round_robin_selector.h"
+
+#include "routing/candidate_load.h"
+
+namespace waxwingwing {
+
+std::vector<std::size_t> round_robin_selector::Rank(const selection_input& input) {
+  const std::size_t turn = turn_++;
+  return RankByClass(input, [turn](candidate_class& members) { Rotate(members, turn); });
+}
+
+}  // namespace waxwingwing
