--- /dev/null
+++ b/include/waxwingwing/config/release_note_verdict.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "waxwingwing/core/finding.h"
+#include "waxwingwing/core/ids.h"
+#include "waxwingwing/core/result.h"
+
+namespace waxwingwing {
+
+enum class object_kind { kFailureDomain, kOrganisation, kModelGroup, kService };
+
+/// Name of the arrays that hold objects of the kind in a release note, such as `model_groups`.
+std::string_view ArrayName(object_kind kind);
+
+/// An object that another release note changed after the base revision.
+struct release_note_conflict {
+  /// JSON path in the refused release note.
+  std::string place;
+  object_kind kind = object_kind::kFailureDomain;
+  std::string id;
+  /// Revision that changed the object.
+  log_offset revision;
+
+  bool operator==(const release_note_conflict&) const = default;
+};
+
+/// Whether a release note took effect, and why not.
+struct release_note_verdict {
+  note_id id;
+  bool accepted = false;
+  /// Offset of the release note on the control stream.
+  log_offset revision;
+  /// At most `kMaxReportedFaults`, as are the conflicts.
+  std::vector<finding> findings;
+  std::vector<release_note_conflict> conflicts;
+
+  bool operator==(const release_note_verdict&) const = default;
+};
+
+/// Bounds the memory that the verdict on one hostile note takes.
+inline constexpr std::size_t kMaxReportedFaults = 64;
+
+/// Verdict on a note that could not be read.
+release_note_verdict RefuseReleaseNote(note_id id, log_offset revision,
+                                       const finding_list& findings);
+
+nlohmann::json VerdictToJson(const release_note_verdict& verdict);
+result<release_note_verdict> VerdictFromJson(const nlohmann::json& value);
+
+}  // namespace waxwingwing
