--- /dev/null
+++ b/include/waxwingwing/platform/http_client.h
@@ -0,0 +1,75 @@
+#pragma once
+
+// g++ 12 needs <utility> before the awaitable header of Boost 1.74.
+#include <utility>
+// clang-format off
+#include <boost/asio/awaitable.hpp>
+// clang-format on
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "waxwingwing/core/result.h"
+#include "waxwingwing/core/units.h"
+
+namespace waxwingwing {
+
+struct http_header {
+  std::string name;
+  std::string value;
+};
+
+struct http_request {
+  /// `ip:port`.
+  std::string address;
+  std::string method = "GET";
+  std::string target;
+  std::vector<http_header> headers;
+  std::string body;
+  /// For the whole exchange, from connecting to the last byte of the answer.
+  milliseconds timeout{1000};
+  /// Longer answers fail.
+  byte_count body_limit{std::uint64_t{1} << 20U};
+  /// Whether an idle connection may be used and the connection may be kept afterwards.
+  bool reuse_connection = true;
+};
+
+struct http_reply {
+  std::uint32_t status = 0;
+  std::vector<http_header> headers;
+  std::string body;
+
+  /// Value of the first header of that name (any case); empty when there is none.
+  std::string_view Header(std::string_view name) const;
+};
+
+/// A reply, or the reason why there is none.
+struct http_exchange {
+  result<http_reply> reply;
+  /// No byte of the request left this process. Never true when there is a reply.
+  bool not_sent = false;
+};
+
+/// Sends single HTTP requests to `ip:port` addresses and keeps idle connections for reuse.
+///
+/// A reused connection that fails before any byte of the answer is replaced by a new one once, for
+/// GET only. A time-out drops all idle connections of the address, because open connections can go
+/// silent while new ones work. Use from one `io_context` thread; must outlive its exchanges.
+class http_client {
+ public:
+  http_client();
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  boost::asio::awaitable<http_exchange> Exchange(http_request request);
+  /// As `Exchange`, for callers that do not need to know whether a failed request was sent.
+  boost::asio::awaitable<result<http_reply>> Send(http_request request);
+
+ private:
+  class connection_pool;
+  std::unique_ptr<connection_pool> idle_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/include/waxwingwing/platform/json_fields.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "waxwingwing/core/finding.h"
+#include "waxwingwing/core/result.h"
+
+namespace waxwingwing {
+
+/// Parses JSON text from outside. Fails on malformed text and on nesting deeper than 64, because
+/// printing a value recurses and a deep one would overflow the stack.
+result<nlohmann::json> ParseJson(std::string_view text);
+
+/// Prints a value on one line; invalid UTF-8 is replaced.
+std::string PrintJson(const nlohmann::json& value);
+
+/// Reads typed fields of one JSON object and collects the faults with their place.
+///
+/// Each read of a field that is missing or has another type adds a finding and gives an empty
+/// value. `object` and `findings` must outlive the reader.
+class json_fields {
+ public:
+  json_fields(const nlohmann::json& object, std::string place, finding_list& findings);
+
+  /// A required text that must not be empty.
+  std::string Text(const char* key);
+  /// A text that may be missing, null or empty.
+  std::string OptionalText(const char* key);
+  /// A required whole number from 0 up to `limit`.
+  std::uint64_t Number(const char* key, std::uint64_t limit = UINT64_MAX);
+  std::uint64_t OptionalNumber(const char* key, std::uint64_t limit = UINT64_MAX);
+  /// A required number that is finite and not negative.
+  double Measure(const char* key);
+  bool Flag(const char* key);
+  /// A required array; an empty one after a finding.
+  const nlohmann::json& Array(const char* key);
+  /// The value of a field, or null when it is missing.
+  const nlohmann::json& Value(const char* key) const;
+  bool Has(const char* key) const { return !Value(key).is_null(); }
+
+  void AddFinding(const char* key, std::string message);
+  std::string PlaceOf(const char* key) const { return place_ + "." + key; }
+
+ private:
+  const nlohmann::json& object_;
+  std::string place_;
+  finding_list& findings_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/platform/http_client.cc
@@ -0,0 +1,226 @@
+#include "waxwingwing/platform/http_client.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+#include <optional>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/platform/ip_endpoint.h"
+
+namespace waxwingwing {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using tcp_stream = beast::tcp_stream;
+
+constexpr std::uint32_t kHeaderLimit = 16 * 1024;
+constexpr std::size_t kMaxIdlePerAddress = 4;
+// Shorter than the idle time-outs common in servers, so that reuse rarely meets a closed
+// connection.
+constexpr auto kMaxIdleTime = std::chrono::seconds(10);
+
+/// What one attempt on one connection gave.
+struct attempt_result {
+  std::optional<http_reply> reply;
+  std::string reason;
+  bool answer_begun = false;
+  bool timed_out = false;
+  bool keep_connection = false;
+};
+
+bool HasLineBreak(std::string_view text) {
+  return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
+}
+
+/// The reason why the request cannot be sent; empty when it can.
+std::string FaultOf(const http_request& request) {
+  if (request.method.empty() || HasLineBreak(request.method)) return "the method is not valid";
+  if (!request.target.starts_with('/') || HasLineBreak(request.target) ||
+      request.target.find(' ') != std::string::npos) {
+    return "the target is not valid";
+  }
+  for (const http_header& header : request.headers) {
+    if (header.name.empty() || HasLineBreak(header.name) || HasLineBreak(header.value)) {
+      return "a header is not valid";
+    }
+  }
+  return {};
+}
+
+http::request<http::string_body> MessageOf(const http_request& request) {
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  message.set(http::field::host, request.address);
+  for (const http_header& header : request.headers) message.set(header.name, header.value);
+  message.keep_alive(request.reuse_connection);
+  message.body() = request.body;
+  message.prepare_payload();
+  return message;
+}
+
+http_reply ReplyOf(http::response<http::string_body> message) {
+  http_reply reply;
+  reply.status = message.result_int();
+  for (const auto& field : message) {
+    reply.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  reply.body = std::move(message.body());
+  return reply;
+}
+
+/// Whether the peer has neither closed the idle connection nor sent anything on it.
+bool IsStillOpen(tcp_stream& stream) {
+  auto& socket = stream.socket();
+  error_code error;
+  socket.non_blocking(true, error);
+  if (error) return false;
+  char byte = 0;
+  socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+attempt_result FailedAttempt(std::string_view step, const error_code& error) {
+  attempt_result outcome;
+  outcome.timed_out = error == beast::error::timeout;
+  outcome.reason = std::string(step) + ": " + error.message();
+  return outcome;
+}
+
+asio::awaitable<attempt_result> RunAttempt(tcp_stream& stream, const http_request& request,
+                                           time_point deadline) {
+  const auto message = MessageOf(request);
+  error_code error;
+  stream.expires_at(deadline);
+  co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return FailedAttempt("sending", error);
+
+  beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.header_limit(kHeaderLimit);
+  parser.body_limit(request.body_limit.get());
+  parser.skip(request.method == "HEAD");
+  co_await http::async_read(stream, buffer, parser,
+                            asio::redirect_error(asio::use_awaitable, error));
+  const bool answer_begun = parser.got_some() || buffer.size() > 0;
+  if (error) {
+    attempt_result failed = FailedAttempt("receiving", error);
+    failed.answer_begun = answer_begun;
+    co_return failed;
+  }
+  attempt_result outcome;
+  outcome.answer_begun = true;
+  outcome.keep_connection = request.reuse_connection && parser.keep_alive() && buffer.size() == 0;
+  outcome.reply = ReplyOf(parser.release());
+  co_return outcome;
+}
+
+http_exchange NotSent(const http_request& request, const std::string& reason) {
+  return {result<http_reply>::Failure(request.address + ": " + reason), true};
+}
+
+http_exchange Finished(const http_request& request, attempt_result outcome) {
+  if (outcome.reply) return {*std::move(outcome.reply), false};
+  return {result<http_reply>::Failure(request.address + ": " + outcome.reason), false};
+}
+
+}  // namespace
+
+/// Idle connections by address; the newest is reused first.
+class http_client::connection_pool {
+ public:
+  std::unique_ptr<tcp_stream> Take(const std::string& address) {
+    std::deque<entry>& kept = entries_[address];
+    while (!kept.empty()) {
+      entry newest = std::move(kept.back());
+      kept.pop_back();
+      const bool fresh = std::chrono::steady_clock::now() - newest.since < kMaxIdleTime;
+      if (fresh && IsStillOpen(*newest.stream)) return std::move(newest.stream);
+    }
+    entries_.erase(address);
+    return nullptr;
+  }
+
+  void Keep(const std::string& address, std::unique_ptr<tcp_stream> stream) {
+    stream->expires_never();
+    RemoveExpired();
+    std::deque<entry>& kept = entries_[address];
+    kept.push_back({std::move(stream), std::chrono::steady_clock::now()});
+    if (kept.size() > kMaxIdlePerAddress) kept.pop_front();
+  }
+
+  void Drop(const std::string& address) { entries_.erase(address); }
+
+ private:
+  struct entry {
+    std::unique_ptr<tcp_stream> stream;
+    time_point since;
+  };
+
+  /// Closes connections to addresses that are no longer asked, for example of replaced VMs.
+  void RemoveExpired() {
+    const time_point oldest = std::chrono::steady_clock::now() - kMaxIdleTime;
+    for (auto& [address, kept] : entries_) {
+      while (!kept.empty() && kept.front().since < oldest) kept.pop_front();
+    }
+    std::erase_if(entries_, [](const auto& item) { return item.second.empty(); });
+  }
+
+  std::map<std::string, std::deque<entry>> entries_;
+};
+
+std::string_view http_reply::Header(std::string_view name) const {
+  for (const http_header& header : headers) {
+    if (beast::iequals(header.name, name)) return header.value;
+  }
+  return {};
+}
+
+http_client::http_client() : idle_(std::make_unique<connection_pool>()) {}
+
+http_client::~http_client() = default;
+
+asio::awaitable<http_exchange> http_client::Exchange(http_request request) {
+  const std::string fault = FaultOf(request);
+  if (!fault.empty()) co_return NotSent(request, fault);
+  const auto endpoint = ParseIpEndpoint(request.address);
+  if (!endpoint) co_return NotSent(request, endpoint.reason());
+  const time_point deadline = std::chrono::steady_clock::now() + request.timeout;
+
+  std::unique_ptr<tcp_stream> stream;
+  if (request.reuse_connection) stream = idle_->Take(request.address);
+  if (stream) {
+    attempt_result first = co_await RunAttempt(*stream, request, deadline);
+    if (first.keep_connection) idle_->Keep(request.address, std::move(stream));
+    if (first.timed_out) idle_->Drop(request.address);
+    const bool may_repeat = !first.answer_begun && !first.timed_out && request.method == "GET";
+    if (!may_repeat) co_return Finished(request, std::move(first));
+  }
+
+  const auto executor = co_await asio::this_coro::executor;
+  stream = std::make_unique<tcp_stream>(executor);
+  stream->expires_at(deadline);
+  error_code error;
+  co_await stream->async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return NotSent(request, "connecting: " + error.message());
+  stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
+  attempt_result outcome = co_await RunAttempt(*stream, request, deadline);
+  if (outcome.keep_connection) idle_->Keep(request.address, std::move(stream));
+  if (outcome.timed_out) idle_->Drop(request.address);
+  co_return Finished(request, std::move(outcome));
+}
+
+asio::awaitable<result<http_reply>> http_client::Send(http_request request) {
+  http_exchange exchange = co_await Exchange(std::move(request));
+  co_return std::move(exchange.reply);
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/platform/log_client.cc
@@ -0,0 +1,150 @@
+#include "waxwingwing/platform/log_client.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+#include "waxwingwing/platform/json_fields.h"
+
+namespace waxwingwing {
+namespace {
+
+using boost::asio::awaitable;
+
+constexpr std::uint32_t kOk = 200;
+constexpr std::uint32_t kGone = 410;
+constexpr std::uint32_t kUnavailable = 503;
+// Holds a page of records and the largest snapshot expected at the target size.
+constexpr byte_count kMaxPageBytes{std::uint64_t{16} << 20U};
+
+std::string RecordsTarget(const std::string& stream) {
+  return "/v1/streams/" + stream + "/records";
+}
+
+read_answer FailedRead(std::string reason) {
+  read_answer answer;
+  answer.reason = std::move(reason);
+  return answer;
+}
+
+append_answer NoAppend(append_state state, std::string reason) {
+  return {state, log_offset(), std::move(reason)};
+}
+
+read_answer ParseLapsed(const nlohmann::json& body) {
+  finding_list findings;
+  json_fields fields(body, "$", findings);
+  read_answer answer;
+  answer.first_offset = log_offset(fields.Number("first_offset"));
+  if (!findings.empty()) return FailedRead("malformed log answer: " + findings.ToText());
+  answer.state = read_state::kLapsed;
+  return answer;
+}
+
+stream_record ParseRecord(const nlohmann::json& row, const std::string& place,
+                          finding_list& findings) {
+  json_fields fields(row, place, findings);
+  stream_record record;
+  record.offset = log_offset(fields.Number("offset"));
+  // A record that another writer appended without an id must not block the reader.
+  record.append_id = append_id(fields.OptionalText("append_id"));
+  if (row.is_object() && !row.contains("payload")) fields.AddFinding("payload", "is missing");
+  record.payload = PrintJson(fields.Value("payload"));
+  return record;
+}
+
+read_answer ParsePage(const nlohmann::json& body, log_offset from) {
+  finding_list findings;
+  json_fields fields(body, "$", findings);
+  stream_page page;
+  page.first_offset = log_offset(fields.Number("first_offset"));
+  page.next_offset = log_offset(fields.Number("next_offset"));
+  log_offset lowest = std::max(from, page.first_offset);
+  for (const nlohmann::json& row : fields.Array("records")) {
+    const std::string place = fmt::format("$.records[{}]", page.records.size());
+    stream_record record = ParseRecord(row, place, findings);
+    if (record.offset < lowest || record.offset >= page.next_offset) {
+      findings.Add(place + ".offset", "is out of order or outside the page");
+    }
+    if (!findings.empty()) break;
+    lowest = record.offset.Next();
+    page.records.push_back(std::move(record));
+  }
+  if (page.next_offset < page.first_offset) {
+    findings.Add("$.next_offset", "lies before first_offset");
+  }
+  if (!findings.empty()) return FailedRead("malformed log answer: " + findings.ToText());
+  read_answer answer;
+  answer.state = read_state::kPage;
+  answer.page = std::move(page);
+  return answer;
+}
+
+}  // namespace
+
+append_answer ParseAppendAnswer(const http_exchange& exchange) {
+  if (!exchange.reply) {
+    const auto state = exchange.not_sent ? append_state::kNotAppended : append_state::kUnknown;
+    return NoAppend(state, exchange.reply.reason());
+  }
+  const http_reply& reply = *exchange.reply;
+  if (reply.status == kUnavailable) {
+    return NoAppend(append_state::kNotAppended, "the log answered 503");
+  }
+  if (reply.status != kOk) {
+    return NoAppend(append_state::kUnknown, fmt::format("the log answered {}", reply.status));
+  }
+  const auto body = ParseJson(reply.body);
+  if (!body) return NoAppend(append_state::kUnknown, body.reason());
+  finding_list findings;
+  json_fields fields(*body, "$", findings);
+  const log_offset offset(fields.Number("offset"));
+  if (!findings.empty()) {
+    return NoAppend(append_state::kUnknown, "malformed log answer: " + findings.ToText());
+  }
+  return {append_state::kAppended, offset, {}};
+}
+
+read_answer ParseReadAnswer(const http_reply& reply, log_offset from) {
+  if (reply.status != kOk && reply.status != kGone) {
+    return FailedRead(fmt::format("the log answered {}", reply.status));
+  }
+  const auto body = ParseJson(reply.body);
+  if (!body) return FailedRead(body.reason());
+  return reply.status == kGone ? ParseLapsed(*body) : ParsePage(*body, from);
+}
+
+log_client::log_client(http_client& http, std::string address, milliseconds timeout)
+    : http_(http), address_(std::move(address)), timeout_(timeout) {}
+
+awaitable<append_answer> log_client::Append(std::string stream, append_id id, std::string payload) {
+  auto value = ParseJson(payload);
+  if (!value) co_return NoAppend(append_state::kNotAppended, "payload: " + value.reason());
+  nlohmann::json body;
+  body["append_id"] = id.str();
+  body["payload"] = std::move(*value);
+
+  http_request request;
+  request.address = address_;
+  request.method = "POST";
+  request.target = RecordsTarget(stream);
+  request.headers.push_back({"Content-Type", "application/json"});
+  request.body = PrintJson(body);
+  request.timeout = timeout_;
+  const http_exchange exchange = co_await http_.Exchange(std::move(request));
+  co_return ParseAppendAnswer(exchange);
+}
+
+awaitable<read_answer> log_client::Read(std::string stream, stream_range range) {
+  http_request request;
+  request.address = address_;
+  request.target = fmt::format("{}?from={}&limit={}&wait_ms={}", RecordsTarget(stream),
+                               range.from.get(), range.limit, range.wait.count());
+  request.timeout = timeout_ + range.wait;
+  request.body_limit = kMaxPageBytes;
+  const result<http_reply> reply = co_await http_.Send(std::move(request));
+  if (!reply) co_return FailedRead(reply.reason());
+  co_return ParseReadAnswer(*reply, range.from);
+}
+
+}  // namespace waxwingwing
