stand_ins: add log, vm_list, weight_store, engine, plain_service and proxy

One program with one class per kind; a small HTTP server on Boost.Beast coroutines and a record store are shared. Records can also be written to a file, so that those of a killed engine are not lost. Requests that run when an engine is reassigned or turns cold are cut, since the new state cannot hold them. The faults freeze, outage, delay_ms and reject_partition exist for all kinds; the proxy also has silence_open for connections that go silent for good.

Ruled out: dumping the records at exit (lost on SIGKILL), and a shared timer for several waiters (each wait cancels the others).

--- /dev/null
+++ b/stand_ins/answer_tokens.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "waxwingwing/core/hash.h"
+
+namespace waxwingwing::stand_ins {
+
+/// Token number `index` of an engine's answer to a request whose last message is `text`.
+inline std::string AnswerToken(std::string_view text, std::uint64_t index) {
+  return fmt::format("{:x} ", StableHash(text, index));
+}
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/engine.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "stand_ins/engine_load.h"
+#include "stand_ins/engine_member.h"
+#include "stand_ins/engine_request.h"
+#include "stand_ins/stand_in.h"
+
+namespace waxwingwing::stand_ins {
+
+/// Kind `engine`: a model-serving backend server.
+///
+/// Records: `requests`, `refusals`, `violations` (more held than it bears), `peaks` (most held at a
+/// time), `incarnations`, and those of `engine_member`. More KV cache tokens than it bears make the
+/// process exit with `kCrashExitCode`. Running requests are cut when the assignment changes or the
+/// engine turns cold.
+class engine final : public stand_in {
+ public:
+  static constexpr int kCrashExitCode = 70;
+
+  explicit engine(asio::io_context& context);
+
+ private:
+  struct fault_counts {
+    std::uint64_t silence_streams = 0;
+    std::uint64_t drop_streams = 0;
+    std::uint64_t wrong_ids = 0;
+    double slow_factor = 1;
+    bool leaving = false;
+  };
+
+  awaitable<void> HandleRequest(http_exchange& exchange) override;
+  bool SetFault(const std::string& name, const json& value) override;
+
+  awaitable<void> Order(http_exchange& exchange);
+  awaitable<void> Cancel(http_exchange& exchange);
+  awaitable<void> CacheEvents(http_exchange& exchange);
+  awaitable<void> Chat(http_exchange& exchange);
+
+  /// The status with which a request is refused before it starts; 0 when it is taken.
+  unsigned RefusalStatus(const http_exchange& exchange) const;
+  awaitable<void> Refuse(engine_request& request, unsigned status);
+  void Begin(engine_request& request);
+  void End(engine_request& request);
+  void CheckLimits();
+  void ChooseFaults(engine_request& request);
+
+  awaitable<void> Stream(engine_request& request);
+  awaitable<void> AnswerWhole(engine_request& request);
+  /// Waits for the time of the next token; false when the request ended.
+  awaitable<bool> NextToken(engine_request& request, std::uint64_t index, time_point& due);
+  void NoteToken(engine_request& request);
+  /// Ends a request from outside its own coroutine.
+  void Stop(engine_request& request, const std::string& how);
+  void StopAll(const std::string& how);
+
+  void StartIncarnation(const std::string& cause);
+  json Status();
+  json RequestRecord(const engine_request& request) const;
+  header_list AnswerHeaders(const answer_source& source) const;
+  milliseconds Uptime() const;
+  double MsPerToken() const;
+
+  std::uint64_t incarnation_ = 0;
+  time_point started_at_{};
+  engine_member member_;
+  engine_load load_;
+  fault_counts faults_;
+  std::set<engine_request*> running_;
+  std::optional<answer_source> last_source_;
+  json cache_events_ = json::array();
+};
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/flags.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <gflags/gflags.h>
+
+// Flags of all kinds; each kind reads those that section 7.3 of docs/design.md names for it.
+DECLARE_string(listen);
+DECLARE_string(records_file);
+DECLARE_string(vm_id);
+DECLARE_uint64(max_requests);
+
+DECLARE_uint64(append_delay_ms);
+DECLARE_uint64(retain_records);
+DECLARE_uint64(appends_per_second);
+
+DECLARE_uint64(lag_ms);
+
+DECLARE_uint64(bytes_per_second);
+DECLARE_uint64(weight_bytes);
+
+DECLARE_string(weight_store_address);
+DECLARE_bool(checks_fencing);
+DECLARE_uint64(load_bytes);
+DECLARE_uint64(cold_requests);
+DECLARE_uint64(warm_up_ms);
+DECLARE_uint64(kv_tokens_limit);
+DECLARE_double(ms_per_token);
+DECLARE_uint64(report_lag_ms);
+
+DECLARE_uint64(service_ms);
+
+DECLARE_string(target);
--- /dev/null
+++ b/stand_ins/http_exchange.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "stand_ins/asio.h"
+
+namespace waxwingwing::stand_ins {
+
+namespace http = boost::beast::http;
+using http_request = http::request<http::string_body>;
+using header_list = std::vector<std::pair<std::string, std::string>>;
+using nlohmann::json;
+
+/// One request and the means to answer it: with a whole answer, piece by piece, or not at all.
+///
+/// Writing functions return false when the connection failed.
+class http_exchange {
+ public:
+  http_exchange(tcp::socket& socket, http_request request);
+  http_exchange(const http_exchange&) = delete;
+  http_exchange& operator=(const http_exchange&) = delete;
+
+  const http_request& request() const { return request_; }
+  std::string Method() const { return std::string(request_.method_string()); }
+  /// The target without its query.
+  const std::string& path() const { return path_; }
+  /// A header's value; empty when there is none.
+  std::string Header(std::string_view name) const;
+  std::uint64_t QueryNumber(const std::string& name, std::uint64_t default_value) const;
+  /// The body as JSON; throws nlohmann::json::exception.
+  json Body() const { return json::parse(request_.body()); }
+
+  awaitable<bool> Answer(unsigned status, const json& body);
+  awaitable<bool> AnswerText(unsigned status, std::string body, header_list headers);
+
+  /// Starts a chunked answer; continued by `WriteChunk`, ended by `EndChunks`.
+  awaitable<bool> BeginChunks(std::string content_type, header_list headers);
+  awaitable<bool> WriteChunk(std::string data);
+  awaitable<bool> EndChunks();
+
+  /// Closes the connection; pending writes fail.
+  void Close();
+  /// Whether this side or the peer closed the connection.
+  bool IsClosed();
+  bool answered() const { return answered_; }
+
+ private:
+  awaitable<bool> Write(std::string data);
+
+  tcp::socket& socket_;
+  http_request request_;
+  std::string path_;
+  std::map<std::string, std::string> query_;
+  bool answered_ = false;
+};
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/proxy.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "stand_ins/proxy_connection.h"
+#include "stand_ins/stand_in.h"
+
+namespace waxwingwing::stand_ins {
+
+/// Kind `proxy`: forwards TCP connections to `--target` and breaks them on demand.
+///
+/// Faults: `delay_ms` (in each direction), `cut` (bool: closes all connections and refuses new
+/// ones), `freeze_to_target` and `freeze_from_target` (bool: accepts bytes and forwards none,
+/// without closing; forwards them when set back), `silence_open` (true: the connections that are
+/// open now forward nothing any more, new ones work) and `drop_answers` (count: closes the
+/// connection when the first byte of an answer arrives).
+class proxy final : public stand_in {
+ public:
+  explicit proxy(asio::io_context& context);
+
+  /// Where the proxy accepts the connections that it forwards.
+  std::string address() const { return ToAddress(acceptor_.local_endpoint()); }
+
+ private:
+  awaitable<void> HandleRequest(http_exchange& exchange) override;
+  bool SetFault(const std::string& name, const json& value) override;
+
+  awaitable<void> Accept();
+  awaitable<void> Forward(tcp::socket accepted);
+  void CloseAll();
+
+  tcp::acceptor acceptor_;
+  proxy_faults faults_;
+  std::set<std::shared_ptr<proxy_connection>> connections_;
+};
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/proxy_connection.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <string>
+
+#include "stand_ins/asio.h"
+#include "stand_ins/change_signal.h"
+
+namespace waxwingwing::stand_ins {
+
+/// Faults in force for all connections of a proxy.
+struct proxy_faults {
+  milliseconds delay{0};
+  bool cut = false;
+  bool freeze_to_target = false;
+  bool freeze_from_target = false;
+  std::uint64_t drop_answers = 0;
+};
+
+/// One forwarded connection. Bytes of each direction wait in a queue until they are due.
+class proxy_connection : public std::enable_shared_from_this<proxy_connection> {
+ public:
+  /// `faults` must outlive the connection.
+  proxy_connection(tcp::socket accepted, proxy_faults& faults);
+  proxy_connection(const proxy_connection&) = delete;
+  proxy_connection& operator=(const proxy_connection&) = delete;
+
+  /// Connects to the target and forwards until both directions ended.
+  awaitable<void> Run(tcp::endpoint target);
+  void Close();
+  /// From now on bytes are accepted and never forwarded.
+  void Silence() { silent_ = true; }
+
+  std::uint64_t bytes_to_target() const { return to_target_.bytes; }
+  std::uint64_t bytes_from_target() const { return from_target_.bytes; }
+
+ private:
+  struct piece {
+    time_point due;
+    /// Empty at the end of the direction.
+    std::string data;
+  };
+
+  struct direction {
+    direction(tcp::socket& from, tcp::socket& to, const bool& frozen)
+        : source(from), sink(to), freeze(frozen) {}
+
+    tcp::socket& source;
+    tcp::socket& sink;
+    const bool& freeze;
+    std::deque<piece> queue;
+    std::size_t queued_bytes = 0;
+    std::uint64_t bytes = 0;
+    bool finished = false;
+    /// Notified when the queue changed or the direction finished.
+    change_signal changed;
+  };
+
+  awaitable<void> Read(direction& way);
+  awaitable<void> Write(direction& way);
+  /// True when the answer is to be dropped instead of forwarded.
+  bool TakesDrop(const direction& way);
+
+  proxy_faults& faults_;
+  tcp::socket accepted_;
+  tcp::socket target_;
+  direction to_target_;
+  direction from_target_;
+  bool silent_ = false;
+};
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/vm_list.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "stand_ins/stand_in.h"
+
+namespace waxwingwing::stand_ins {
+
+/// Kind `vm_list`: the platform's list of VMs, which shows changes after `--lag_ms`.
+class vm_list final : public stand_in {
+ public:
+  explicit vm_list(asio::io_context& context) : stand_in(context) {}
+
+ private:
+  struct change {
+    time_point shows_at;
+    std::string id;
+    /// The new entry; none when the entry is removed.
+    std::optional<json> entry;
+  };
+
+  awaitable<void> HandleRequest(http_exchange& exchange) override;
+  void AddChange(const std::string& id, std::optional<json> entry);
+  /// The entries whose changes show by now.
+  json Visible();
+
+  std::map<std::string, json> shown_;
+  std::deque<change> changes_;
+};
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/weight_store.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <string>
+
+#include "stand_ins/stand_in.h"
+
+namespace waxwingwing::stand_ins {
+
+/// Kind `weight_store`: delivers weights at a rate that all readers share.
+///
+/// A reader may ask for the first bytes only, with the header `Range: bytes=0-N`. Own fault:
+/// `bytes_per_second` (the new rate).
+class weight_store final : public stand_in {
+ public:
+  explicit weight_store(asio::io_context& context);
+
+ private:
+  awaitable<void> HandleRequest(http_exchange& exchange) override;
+  bool SetFault(const std::string& name, const json& value) override;
+  awaitable<void> Deliver(http_exchange& exchange);
+  /// Waits until `size` bytes may be sent; readers get their turns one after the other.
+  awaitable<void> WaitForTurn(std::uint64_t size);
+  std::uint64_t PieceSize() const;
+
+  std::uint64_t bytes_per_second_;
+  std::uint64_t active_ = 0;
+  time_point next_turn_{};
+};
+
+}  // namespace waxwingwing::stand_ins
