groups: add the replica planner

Cause: the holder of a domain's lease needs orders that keep every model group complete without putting a VM into two replicas. Change: replica_planner computes orders from configuration, VM list, reports, fencing number and its own small state: forming in one fabric domain, member replacement, successors, draining, donors, load order with a limit, and takeover from reports alone. Packing and repair are strategies. Ruled out: replacing a member as soon as its report expires (2 s); after the death of an entry VM its backend servers are silent for about 3 s and would all be replaced. Reusing a VM right after a lost order; only an idle report taken after the order expired shows that the order had no effect.

--- /dev/null
+++ b/src/groups/planning_round.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <map>
+#include <vector>
+
+#include "groups/plan_editor.h"
+#include "groups/replica_health.h"
+#include "groups/vm_pool.h"
+#include "waxwingwing/groups/packing_strategy.h"
+#include "waxwingwing/groups/planner_types.h"
+#include "waxwingwing/groups/repair_strategy.h"
+
+namespace waxwingwing {
+
+/// Brings the planned replicas in line with configuration and reports, in one round of the planner.
+class planning_round {
+ public:
+  planning_round(const planner_input& input, const planner_options& options,
+                 const packing_strategy& packing, const repair_strategy& repair,
+                 planner_state& state, vm_pool& pool);
+
+  void Run();
+
+ private:
+  const model_group_config* ConfigOf(const planned_replica& replica) const;
+  bool IsDomainIn() const;
+  /// Replicas of configured groups by priority, then id.
+  std::vector<replica_id> ByPriority() const;
+  bool HasSuccessor(const replica_id& id) const;
+
+  /// Moves replicas to the phase that their condition shows, and ends what is finished.
+  void UpdatePhases();
+  void UpdatePhase(planned_replica& replica);
+  void NoteProgress(planned_replica& replica, const replica_health& health);
+  /// Whether an order that makes a member load may still take effect.
+  bool WasOrderedRecently(const planned_replica& replica) const;
+  void CompleteSuccession(planned_replica& replica);
+  void ReleaseSuccessorOf(const replica_id& id);
+  void FailForming(const planned_replica& replica, const replica_health& health);
+
+  /// Drains replicas of withdrawn groups, and those beyond the configured number.
+  void DrainUnwanted();
+  void DrainSurplus(const model_group_config& group);
+
+  void RepairBroken();
+  void Repair(planned_replica& replica, const model_group_config& group,
+              const replica_health& health);
+  /// Whether the group's model or size changed since the replica was planned.
+  bool IsOutdated(const planned_replica& replica) const;
+  void ReplaceOutdated(planned_replica& replica, const model_group_config& group);
+  /// Lets stuck replicas have the VMs of others that are stuck and come after them.
+  void HelpStuck();
+  void ReplaceUnwantedMembers();
+  void ReplaceUnwanted(planned_replica& replica, const model_group_config& group,
+                       const replica_health& health);
+  void FormMissing();
+
+  /// Replicas of the group in service or forming, counting a replica and its successor once.
+  std::uint32_t CountReplicas(const model_group_id& group) const;
+  std::optional<fabric_domain_id> ChooseFabric(const model_group_config& group) const;
+  /// Releases broken replicas that come after (`priority`, `id`) and cannot be repaired when their
+  /// VMs give a fabric domain (`only` unless empty) `needed` free VMs.
+  void ReleaseDonors(std::uint32_t priority, const replica_id& id, const fabric_domain_id& only,
+                     std::size_t needed);
+
+  const planner_input& input_;
+  const planner_options& options_;
+  const packing_strategy& packing_;
+  const repair_strategy& repair_;
+  planner_state& state_;
+  vm_pool& pool_;
+  plan_editor editor_;
+  std::map<replica_id, replica_health> health_;
+  /// Broken replicas that nothing can be done for in this round.
+  std::set<replica_id> stuck_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/groups/replica_adopter.cc
@@ -0,0 +1,86 @@
+#include "groups/replica_adopter.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwingwing {
+
+replica_adopter::replica_adopter(const planner_input& input, planner_state& state, vm_pool& pool)
+    : input_(input), state_(state), pool_(pool) {}
+
+void replica_adopter::Run() {
+  const bool first_round = !state_.started_at.has_value();
+  if (first_round) state_.started_at = input_.now;
+  for (const auto& [id, claim] : CollectUnknown()) {
+    if (!IsConfigured(claim->model_group)) continue;
+    planned_replica replica = MakePlan(*claim);
+    const bool whole = IsConfirmed(replica);
+    if (whole) replica.phase = plan_phase::kServing;
+    if (first_round || whole) state_.replicas.emplace(id, std::move(replica));
+  }
+  ForgetReleased();
+  pool_.SetOwners(state_);
+}
+
+replica_adopter::claims replica_adopter::CollectUnknown() const {
+  claims unknown;
+  for (const auto& [vm, view] : pool_.views()) {
+    const backend_assignment* claim = view.Assignment();
+    if (claim == nullptr || claim->members.empty()) continue;
+    if (state_.replicas.contains(claim->replica) || state_.released.contains(claim->replica)) {
+      continue;
+    }
+    const backend_assignment*& held = unknown[claim->replica];
+    if (held == nullptr || claim->generation > held->generation) held = claim;
+  }
+  return unknown;
+}
+
+bool replica_adopter::IsConfigured(const model_group_id& group) const {
+  const auto found = input_.config.model_groups.find(group);
+  if (found == input_.config.model_groups.end()) return false;
+  const auto& domains = found->second.value.failure_domains;
+  return std::find(domains.begin(), domains.end(), input_.domain) != domains.end();
+}
+
+planned_replica replica_adopter::MakePlan(const backend_assignment& claim) const {
+  planned_replica replica;
+  replica.id = claim.replica;
+  replica.model_group = claim.model_group;
+  // Reports do not name the model; a change that happened before the takeover is not seen.
+  replica.model = input_.config.model_groups.at(claim.model_group).value.model;
+  replica.generation = claim.generation;
+  replica.members = claim.members;
+  replica.progress_at = input_.now;
+  return replica;
+}
+
+bool replica_adopter::IsConfirmed(const planned_replica& replica) const {
+  for (std::uint32_t rank = 0; rank < replica.members.size(); ++rank) {
+    const vm_view* view = pool_.Find(replica.members[rank]);
+    if (view == nullptr || !view->fresh || view->Assignment() == nullptr) return false;
+    const backend_assignment expected{replica.id, replica.model_group, replica.generation, rank,
+                                      replica.members};
+    if (*view->Assignment() != expected || view->report->state != backend_state::kReady) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void replica_adopter::ForgetReleased() {
+  if (state_.released.empty()) return;
+  std::set<replica_id> mentioned;
+  for (const auto& [vm, view] : pool_.views()) {
+    const backend_assignment* claim = view.Assignment();
+    if (claim != nullptr) mentioned.insert(claim->replica);
+    // A lost assign order may still arrive while its replica is being forgotten.
+    const auto& sent = view.memory->assign_sent_at;
+    if (sent && input_.now - *sent <= kReportLifetime * 2) {
+      mentioned.insert(view.memory->assign_replica);
+    }
+  }
+  std::erase_if(state_.released, [&](const replica_id& id) { return !mentioned.contains(id); });
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/groups/replica_adopter.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+
+#include "groups/vm_pool.h"
+#include "waxwingwing/groups/planner_types.h"
+
+namespace waxwingwing {
+
+/// Takes replicas that reports mention into the plan.
+///
+/// In the first round of a term it takes over every replica of a configured group, complete or not.
+/// Later only a complete one that was unknown, such as one whose fabric domain was unreachable at
+/// the takeover; the VMs of any other unknown replica are released.
+class replica_adopter {
+ public:
+  replica_adopter(const planner_input& input, planner_state& state, vm_pool& pool);
+
+  void Run();
+
+ private:
+  using claims = std::map<replica_id, const backend_assignment*>;
+
+  /// The claim with the highest generation for each replica that is not in the plan.
+  claims CollectUnknown() const;
+  bool IsConfigured(const model_group_id& group) const;
+  planned_replica MakePlan(const backend_assignment& claim) const;
+  /// Every member reports the planned assignment, whoever owns it.
+  bool IsConfirmed(const planned_replica& replica) const;
+  void ForgetReleased();
+
+  const planner_input& input_;
+  planner_state& state_;
+  vm_pool& pool_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/groups/replica_health.cc
@@ -0,0 +1,88 @@
+#include "groups/replica_health.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace waxwingwing {
+namespace {
+
+/// Time after which entry VMs have seen that a replica takes no new requests (P8), plus the lag of
+/// load reports.
+constexpr milliseconds kDispatchStopTime{4000};
+
+bool IsStraggler(const vm_view& view, const planner_options& options, time_point now) {
+  const auto& slow_since = view.memory->slow_since;
+  return slow_since && now - *slow_since >= options.straggler_time;
+}
+
+/// Lower median of the positive times of the other members; 0 when there is none.
+double MedianOfOthers(const std::vector<double>& times, std::size_t rank) {
+  std::vector<double> others;
+  for (std::size_t other = 0; other < times.size(); ++other) {
+    if (other != rank && times[other] > 0) others.push_back(times[other]);
+  }
+  if (others.empty()) return 0;
+  const auto middle = others.begin() + static_cast<std::ptrdiff_t>((others.size() - 1) / 2);
+  std::nth_element(others.begin(), middle, others.end());
+  return *middle;
+}
+
+}  // namespace
+
+replica_health ExamineReplica(const planned_replica& replica, const vm_pool& pool,
+                              const planner_options& options, time_point now) {
+  replica_health health;
+  for (std::uint32_t rank = 0; rank < replica.members.size(); ++rank) {
+    const member_condition condition = pool.ConditionOf(replica, rank);
+    if (condition == member_condition::kReady) ++health.ready;
+    if (condition == member_condition::kLoading) ++health.loading;
+    if (condition == member_condition::kLost) {
+      health.lost.push_back(rank);
+      continue;
+    }
+    const vm_view* view = pool.Find(replica.members[rank]);
+    if (view->leaving() || IsStraggler(*view, options, now)) health.unwanted.push_back(rank);
+  }
+  health.whole = health.ready == replica.members.size();
+  if (health.whole) return health;
+  for (const std::uint32_t rank : health.unwanted) {
+    if (pool.Find(replica.members[rank])->leaving()) health.lost.push_back(rank);
+  }
+  std::sort(health.lost.begin(), health.lost.end());
+  health.unwanted.clear();
+  return health;
+}
+
+void ObserveStragglers(const planned_replica& replica, vm_pool& pool,
+                       const planner_options& options, time_point now) {
+  std::vector<double> times;
+  for (std::uint32_t rank = 0; rank < replica.members.size(); ++rank) {
+    const bool ready = pool.ConditionOf(replica, rank) == member_condition::kReady;
+    times.push_back(ready ? pool.Find(replica.members[rank])->report->ms_per_token : 0);
+  }
+  for (std::uint32_t rank = 0; rank < replica.members.size(); ++rank) {
+    vm_view* view = pool.Find(replica.members[rank]);
+    if (view == nullptr || view->owner != replica.id) continue;
+    const double median = MedianOfOthers(times, rank);
+    const bool slow = median > 0 && times[rank] > options.straggler_factor * median;
+    if (!slow) view->memory->slow_since.reset();
+    if (slow && !view->memory->slow_since) view->memory->slow_since = now;
+  }
+}
+
+bool IsDrained(const planned_replica& replica, const vm_pool& pool, const planner_options& options,
+               time_point now) {
+  assert(replica.drain_since.has_value());
+  if (now - *replica.drain_since >= options.drain_limit) return true;
+  for (const vm_id& member : replica.members) {
+    const vm_view* view = pool.Find(member);
+    // A replica with a lost member runs nothing that could still be completed.
+    if (view == nullptr || view->owner != replica.id || view->silent) return true;
+    if (view->report == nullptr) return false;
+    if (view->report->taken_at < *replica.drain_since + kDispatchStopTime) return false;
+    if (view->report->running > request_count(0)) return false;
+  }
+  return true;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/groups/replica_health.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "groups/vm_pool.h"
+#include "waxwingwing/groups/planner_types.h"
+
+namespace waxwingwing {
+
+/// Condition of a planned replica in one round.
+struct replica_health {
+  std::uint32_t ready = 0;
+  std::uint32_t loading = 0;
+  /// Members that must be replaced before the replica can be complete.
+  std::vector<std::uint32_t> lost;
+  /// Members that are ready but leave or are stragglers.
+  std::vector<std::uint32_t> unwanted;
+  bool whole = false;
+};
+
+/// Examines the replica. In an incomplete replica a leaving member counts as lost, since nothing is
+/// interrupted by its replacement.
+replica_health ExamineReplica(const planned_replica& replica, const vm_pool& pool,
+                              const planner_options& options, time_point now);
+
+/// Notes for each member since when it is slow compared with the other members.
+void ObserveStragglers(const planned_replica& replica, vm_pool& pool,
+                       const planner_options& options, time_point now);
+
+/// Whether no request runs at the replica, or the drain limit passed. The reports must be taken
+/// some seconds after the drain began, when no entry VM sends new requests.
+bool IsDrained(const planned_replica& replica, const vm_pool& pool, const planner_options& options,
+               time_point now);
+
+}  // namespace waxwingwing
