--- a/include/waxwingwing/core/strong_type.h
+++ b/include/waxwingwing/core/strong_type.h
@@ -22,6 +22,7 @@
   const std::string& str() const { return text_; }
   bool empty() const { return text_.empty(); }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): reported for comparisons that the compiler rewrites.
   auto operator<=>(const strong_id&) const = default;
 
  private:
@@ -41,6 +42,7 @@
 
   constexpr representation get() const { return number_; }
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): reported for comparisons that the compiler rewrites.
   constexpr auto operator<=>(const strong_number&) const = default;
   constexpr strong_number operator+(strong_number other) const {
     return strong_number(number_ + other.number_);
--- a/src/config/configuration_state.cc
+++ b/src/config/configuration_state.cc
@@ -66,19 +66,19 @@
 
   template <typename object>
   void Add(const object& added, std::size_t index) {
-    constexpr object_kind kKind = schema<object>::kKind;
-    const std::string place = Place("add", kKind, index);
+    constexpr object_kind kind = schema<object>::kKind;
+    const std::string place = Place("add", kind, index);
     auto& objects = schema<object>::Of(next_.objects);
     const auto found = objects.find(added.id);
-    const log_offset* const withdrawn = WithdrawnSince(kKind, added.id.str());
+    const log_offset* const withdrawn = WithdrawnSince(kind, added.id.str());
     if (found != objects.end() && found->second.revision > note_.base_revision) {
-      AddConflict(place, kKind, added.id.str(), found->second.revision);
+      AddConflict(place, kind, added.id.str(), found->second.revision);
     } else if (found != objects.end()) {
       findings_.Add(MemberPlace(place, "id"), "the object exists already");
     } else if (withdrawn != nullptr) {
-      AddConflict(place, kKind, added.id.str(), *withdrawn);
+      AddConflict(place, kind, added.id.str(), *withdrawn);
     } else {
-      next_.withdrawn.erase({kKind, added.id.str()});
+      next_.withdrawn.erase({kind, added.id.str()});
       objects[added.id] = {added, offset_};
     }
   }
@@ -86,20 +86,20 @@
   /// The entry that the note may change, or null when a fault was reported.
   template <typename object>
   revised<object>* FindChangeable(const decltype(object::id)& id, const std::string& place) {
-    constexpr object_kind kKind = schema<object>::kKind;
+    constexpr object_kind kind = schema<object>::kKind;
     auto& objects = schema<object>::Of(next_.objects);
     const auto found = objects.find(id);
     if (found == objects.end()) {
-      const log_offset* const withdrawn = WithdrawnSince(kKind, id.str());
+      const log_offset* const withdrawn = WithdrawnSince(kind, id.str());
       if (withdrawn != nullptr) {
-        AddConflict(place, kKind, id.str(), *withdrawn);
+        AddConflict(place, kind, id.str(), *withdrawn);
       } else {
         findings_.Add(place, "the object does not exist: " + id.str());
       }
       return nullptr;
     }
     if (found->second.revision > note_.base_revision) {
-      AddConflict(place, kKind, id.str(), found->second.revision);
+      AddConflict(place, kind, id.str(), found->second.revision);
       return nullptr;
     }
     return &found->second;
@@ -121,11 +121,11 @@
 
   template <typename object>
   void Withdraw(std::size_t index) {
-    constexpr object_kind kKind = schema<object>::kKind;
+    constexpr object_kind kind = schema<object>::kKind;
     const auto& id = schema<object>::Of(note_).withdraw[index];
-    if (FindChangeable<object>(id, Place("withdraw", kKind, index)) == nullptr) return;
+    if (FindChangeable<object>(id, Place("withdraw", kind, index)) == nullptr) return;
     schema<object>::Of(next_.objects).erase(id);
-    next_.withdrawn[{kKind, id.str()}] = offset_;
+    next_.withdrawn[{kind, id.str()}] = offset_;
   }
 
   /// Checks references of the objects of a kind after the whole note was applied.
@@ -139,13 +139,13 @@
 
   template <typename object>
   void CheckTouched() {
-    constexpr object_kind kKind = schema<object>::kKind;
+    constexpr object_kind kind = schema<object>::kKind;
     const auto& changes = schema<object>::Of(note_);
     for (std::size_t i = 0; i < changes.add.size(); ++i) {
-      CheckReferences(changes.add[i].failure_domains, Place("add", kKind, i));
+      CheckReferences(changes.add[i].failure_domains, Place("add", kind, i));
     }
     for (std::size_t i = 0; i < changes.change.size(); ++i) {
-      CheckReferences(changes.change[i].value.failure_domains, Place("change", kKind, i));
+      CheckReferences(changes.change[i].value.failure_domains, Place("change", kind, i));
     }
   }
 
--- a/src/config/release_note_parser.cc
+++ b/src/config/release_note_parser.cc
@@ -46,9 +46,9 @@
       findings_.Add("$.base_revision", "is missing");
       return;
     }
-    constexpr number_range kRevision{0, std::uint64_t{1} << 62U};
+    constexpr number_range range{0, std::uint64_t{1} << 62U};
     std::uint64_t revision = 0;
-    ReadNumber(value["base_revision"], {"$.base_revision", kRevision, findings_}, revision);
+    ReadNumber(value["base_revision"], {"$.base_revision", range, findings_}, revision);
     note_.base_revision = log_offset(revision);
   }
 
@@ -76,12 +76,12 @@
 
   template <typename object>
   void ReadKind(const json& value) {
-    constexpr object_kind kKind = object_schema<object>::kKind;
-    const std::string name(ArrayName(kKind));
+    constexpr object_kind kind = object_schema<object>::kKind;
+    const std::string name(ArrayName(kind));
     std::set<std::string> ids;
-    ReadAdded<object>(FindArray(value, "add", kKind), "$.add." + name, ids);
-    ReadChanged<object>(FindArray(value, "change", kKind), "$.change." + name, ids);
-    ReadWithdrawn<object>(FindArray(value, "withdraw", kKind), "$.withdraw." + name, ids);
+    ReadAdded<object>(FindArray(value, "add", kind), "$.add." + name, ids);
+    ReadChanged<object>(FindArray(value, "change", kind), "$.change." + name, ids);
+    ReadWithdrawn<object>(FindArray(value, "withdraw", kind), "$.withdraw." + name, ids);
   }
 
   void CheckUnique(const std::string& id, const std::string& place, std::set<std::string>& ids) {
--- a/src/config/value_reader.cc
+++ b/src/config/value_reader.cc
@@ -13,9 +13,9 @@
 constexpr std::size_t kMaxNameInPlace = 64;
 
 bool IsIdCharacter(char character) {
-  constexpr std::string_view kOthers = "._:@-";
+  constexpr std::string_view others = "._:@-";
   return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') ||
-         (character >= '0' && character <= '9') || kOthers.find(character) != kOthers.npos;
+         (character >= '0' && character <= '9') || others.find(character) != others.npos;
 }
 
 template <typename number>
--- a/src/control/control_snapshot.cc
+++ b/src/control/control_snapshot.cc
@@ -15,7 +15,7 @@
 
 /// Readers refuse snapshots of another format.
 constexpr std::uint64_t kFormat = 1;
-/// Far above the size of a full state at the target (about 1 MiB of objects and verdicts).
+/// Bounds what a hostile peer can make a node read.
 constexpr json_limits kSnapshotLimits{std::size_t{64} << 20U, 16};
 
 json LeaseToJson(const failure_domain_id& domain, const domain_lease& lease) {
