--- a/include/waxwingwing/membership/backend_report.h
+++ b/include/waxwingwing/membership/backend_report.h
@@ -33,6 +33,8 @@
   std::uint64_t sequence = 0;
   /// Backend uptime at the time of the answer.
   milliseconds uptime{0};
+  /// Time since the backend server last became ready; its request limit rises with it.
+  milliseconds ready_for{0};
   backend_state state = backend_state::kIdle;
   bool checks_fencing = false;
   fencing_number fencing;
--- a/include/waxwingwing/membership/peer_table.h
+++ b/include/waxwingwing/membership/peer_table.h
@@ -62,7 +62,8 @@
   /// all are.
   std::vector<vm_id> LivePollers(time_point now) const;
 
-  /// Two live peers in each other domain, by rendezvous hashing with this node as key.
+  /// Two peers in each other domain, by rendezvous hashing with this node as key: live ones, or
+  /// listed ones when none is live.
   std::vector<vm_id> SelectBridges(time_point now) const;
   /// Peers to which a status of `origin` that arrived from `sender` is passed on: the live ones of
   /// this domain when it came directly from another domain, otherwise none.
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -59,10 +59,12 @@
   double ms_per_token = 0;
   /// Time since the poll was sent, without the time on the wire of this message.
   milliseconds age{0};
+  milliseconds ready_for{0};
 
   bool operator==(const backend_report_message&) const = default;
   MSGPACK_DEFINE(vm, failure_domain, incarnation, sequence, uptime, state, checks_fencing, fencing,
-                 assignment, running, kv_tokens_used, kv_tokens_limit, ms_per_token, age)
+                 assignment, running, kv_tokens_used, kv_tokens_limit, ms_per_token, age,
+                 ready_for)
 };
 
 /// Status of an entry VM and the reports that it knows.
--- /dev/null
+++ b/src/daemon/roster_controller.cc
@@ -0,0 +1,119 @@
+#include "daemon/roster_controller.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "daemon/coroutine_timer.h"
+
+namespace waxwingwing {
+
+namespace {
+
+constexpr milliseconds kTick{250};
+/// The VM list must miss an owner for this time before its slot is taken.
+constexpr milliseconds kMissingTime{3000};
+
+}  // namespace
+
+roster_controller::roster_controller(control_context& context, log_controller& log,
+                                     std::string peer_address)
+    : context_(context), log_(log), peer_address_(std::move(peer_address)) {}
+
+void roster_controller::Start() {
+  boost::asio::co_spawn(context_.io, Loop(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> roster_controller::Release() {
+  releasing_ = true;
+  const auto slot = OwnSlot();
+  if (!slot) co_return;
+  roster_record record;
+  record.failure_domain = context_.settings.failure_domain;
+  record.slot = *slot;
+  record.action = roster_action::kRelease;
+  record.vm = context_.settings.vm;
+  record.incarnation = context_.own_incarnation;
+  record.peer_address = peer_address_;
+  const append_id id(context_.random.HexId());
+  co_await log_.Append(id, record);
+}
+
+std::optional<std::uint32_t> roster_controller::OwnSlot() const {
+  const domain_roster* roster = Roster();
+  if (roster == nullptr || releasing_) return std::nullopt;
+  for (const auto& [index, slot] : *roster) {
+    if (slot.vm == context_.settings.vm && slot.incarnation == context_.own_incarnation) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+boost::asio::awaitable<void> roster_controller::Loop() {
+  while (!releasing_) {
+    co_await Tick();
+    co_await SleepFor(kTick);
+  }
+}
+
+boost::asio::awaitable<void> roster_controller::Tick() {
+  if (OwnSlot() || !log_.log_reachable()) co_return;
+  const auto claim = NextClaim(context_.clock.Now());
+  if (!claim) co_return;
+  const append_id id(context_.random.HexId());
+  const append_answer answer = co_await log_.Append(id, *claim);
+  if (answer.state != append_state::kAppended) co_return;
+  // Lets the record come back through the stream before another slot is tried.
+  co_await SleepFor(kTick);
+}
+
+std::optional<roster_record> roster_controller::NextClaim(time_point now) {
+  const auto& domains = context_.state.objects().failure_domains;
+  const auto domain = domains.find(context_.settings.failure_domain);
+  if (domain == domains.end()) return std::nullopt;
+  roster_record record;
+  record.failure_domain = context_.settings.failure_domain;
+  record.vm = context_.settings.vm;
+  record.incarnation = context_.own_incarnation;
+  record.peer_address = peer_address_;
+  const domain_roster none;
+  const domain_roster* known = Roster();
+  const domain_roster& roster = known == nullptr ? none : *known;
+  // Its own earlier slot first, so that a restarted VM does not hold two.
+  for (const auto& [index, slot] : roster) {
+    if (slot.vm != context_.settings.vm) continue;
+    record.slot = index;
+    return record;
+  }
+  const std::uint32_t slots = domain->second.value.entry_vms;
+  for (record.slot = 0; record.slot < slots; ++record.slot) {
+    const auto slot = roster.find(record.slot);
+    if (slot == roster.end()) return record;
+    if (!MayTake(slot->second, now)) continue;
+    record.based_on = slot->second.offset;
+    return record;
+  }
+  return std::nullopt;
+}
+
+bool roster_controller::MayTake(const roster_slot& slot, time_point now) {
+  const bool listed = std::any_of(context_.vms.begin(), context_.vms.end(),
+                                  [&](const vm_entry& entry) { return entry.id == slot.vm; });
+  if (listed || context_.vms.empty()) {
+    missing_since_.erase(slot.vm);
+    return false;
+  }
+  const auto [since, first] = missing_since_.try_emplace(slot.vm, now);
+  return !first && now >= since->second + kMissingTime;
+}
+
+const domain_roster* roster_controller::Roster() const {
+  const auto& rosters = context_.state.rosters();
+  const auto found = rosters.find(context_.settings.failure_domain);
+  return found == rosters.end() ? nullptr : &found->second;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/daemon/roster_controller.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+
+#include "daemon/control_context.h"
+#include "daemon/log_controller.h"
+
+namespace waxwingwing {
+
+/// Claims a roster slot of the own failure domain, which entitles this node to a static share of
+/// each limit. A slot is taken from another VM only when that VM has left the VM list.
+class roster_controller {
+ public:
+  roster_controller(control_context& context, log_controller& log, std::string peer_address);
+
+  void Start();
+  /// Gives the slot up; call when no request runs any more.
+  boost::asio::awaitable<void> Release();
+
+  /// The own slot, if the log says that this process owns one.
+  std::optional<std::uint32_t> OwnSlot() const;
+
+ private:
+  boost::asio::awaitable<void> Loop();
+  boost::asio::awaitable<void> Tick();
+  std::optional<roster_record> NextClaim(time_point now);
+  bool MayTake(const roster_slot& slot, time_point now);
+  const domain_roster* Roster() const;
+
+  control_context& context_;
+  log_controller& log_;
+  const std::string peer_address_;
+  bool releasing_ = false;
+  /// Since when the owner of a slot is missing from the VM list.
+  std::map<vm_id, time_point> missing_since_;
+};
+
+}  // namespace waxwingwing
--- a/src/membership/peer_table.cc
+++ b/src/membership/peer_table.cc
@@ -81,14 +81,23 @@
 }
 
 std::vector<vm_id> peer_table::SelectBridges(time_point now) const {
-  std::map<failure_domain_id, std::vector<vm_id>> by_domain;
+  struct candidates {
+    std::vector<vm_id> live;
+    std::vector<vm_id> listed;
+  };
+  std::map<failure_domain_id, candidates> by_domain;
   for (const auto& [id, candidate] : peers_) {
-    if (candidate.failure_domain == own_domain_ || !IsLive(candidate, now)) continue;
-    by_domain[candidate.failure_domain].push_back(id);
+    if (candidate.failure_domain == own_domain_) continue;
+    candidates& domain = by_domain[candidate.failure_domain];
+    domain.listed.push_back(id);
+    if (IsLive(candidate, now)) domain.live.push_back(id);
   }
   std::vector<vm_id> bridges;
   for (auto& [domain, members] : by_domain) {
-    const auto selected = SelectByRendezvous(std::move(members), own_vm_.str(), kBridgesPerDomain);
+    // With no live peer the listed ones are tried; otherwise two domains that start, or come back
+    // from a partition, at the same time would each wait for the other's first status.
+    auto& pool = members.live.empty() ? members.listed : members.live;
+    const auto selected = SelectByRendezvous(std::move(pool), own_vm_.str(), kBridgesPerDomain);
     bridges.insert(bridges.end(), selected.begin(), selected.end());
   }
   return bridges;
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -86,6 +86,7 @@
   message.incarnation = report.incarnation;
   message.sequence = report.sequence;
   message.uptime = report.uptime;
+  message.ready_for = report.ready_for;
   message.state = report.state;
   message.checks_fencing = report.checks_fencing;
   message.fencing = report.fencing;
@@ -106,6 +107,7 @@
   report.incarnation = message.incarnation;
   report.sequence = message.sequence;
   report.uptime = message.uptime;
+  report.ready_for = message.ready_for;
   report.state = message.state;
   report.checks_fencing = message.checks_fencing;
   report.fencing = message.fencing;
--- a/stand_ins/engine.cc
+++ b/stand_ins/engine.cc
@@ -129,10 +129,10 @@
 }
 
 void engine::CheckLimits() {
-  const std::uint64_t limit = load_.RequestLimit(Uptime());
+  const std::uint64_t limit = load_.RequestLimit(ReadyFor());
   json violation = {{"at_us", MonotonicMicros()},
                     {"vm", FLAGS_vm_id},
-                    {"uptime_ms", Uptime().count()},
+                    {"ready_ms", ReadyFor().count()},
                     {"incarnation", incarnation_}};
   if (load_.held().requests > limit) {
     violation.update({{"kind", "requests"}, {"held", load_.held().requests}, {"limit", limit}});
@@ -285,6 +285,7 @@
   json status = {{"vm", FLAGS_vm_id},
                  {"incarnation", incarnation_},
                  {"uptime_ms", Uptime().count()},
+                 {"ready_ms", member_.ready() ? ReadyFor().count() : 0},
                  {"state", member_.State()},
                  {"checks_fencing", FLAGS_checks_fencing},
                  {"fencing_number", member_.fencing_number()},
@@ -327,6 +328,11 @@
   return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - started_at_);
 }
 
+milliseconds engine::ReadyFor() const {
+  const time_point since = std::max(started_at_, member_.loaded_at());
+  return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - since);
+}
+
 double engine::MsPerToken() const { return FLAGS_ms_per_token * faults_.slow_factor; }
 
 }  // namespace waxwingwing::stand_ins
--- a/stand_ins/engine.h
+++ b/stand_ins/engine.h
@@ -64,6 +64,8 @@
   json RequestRecord(const engine_request& request) const;
   header_list AnswerHeaders(const answer_source& source) const;
   milliseconds Uptime() const;
+  /// Time since the engine was last cold: its start or the end of a load.
+  milliseconds ReadyFor() const;
   double MsPerToken() const;
 
   std::uint64_t incarnation_ = 0;
--- a/stand_ins/engine_load.cc
+++ b/stand_ins/engine_load.cc
@@ -28,10 +28,10 @@
   return reported_;
 }
 
-std::uint64_t engine_load::RequestLimit(milliseconds uptime) const {
-  if (uptime >= bears_.warm_up) return bears_.max_requests;
+std::uint64_t engine_load::RequestLimit(milliseconds ready_for) const {
+  if (ready_for >= bears_.warm_up) return bears_.max_requests;
   const std::uint64_t cold = std::min(bears_.cold_requests, bears_.max_requests);
-  const auto elapsed = static_cast<std::uint64_t>(uptime.count());
+  const auto elapsed = static_cast<std::uint64_t>(ready_for.count());
   const auto warm_up = static_cast<std::uint64_t>(bears_.warm_up.count());
   return cold + (bears_.max_requests - cold) * elapsed / warm_up;
 }
--- a/stand_ins/engine_member.cc
+++ b/stand_ins/engine_member.cc
@@ -103,6 +103,7 @@
     const bool loaded = co_await ReadWeights(source, wanted);
     if (!wanted()) co_return;
     if (loaded) {
+      loaded_at_ = std::chrono::steady_clock::now();
       BecomeReady();
       co_return;
     }
--- a/stand_ins/engine_member.h
+++ b/stand_ins/engine_member.h
@@ -9,6 +9,7 @@
 
 #include "stand_ins/asio.h"
 #include "stand_ins/record_store.h"
+#include "waxwingwing/core/clock.h"
 
 namespace waxwingwing::stand_ins {
 
@@ -40,6 +41,8 @@
 
   const std::optional<assignment>& current() const { return current_; }
   bool ready() const { return ready_; }
+  /// When weights were last loaded; an engine is cold after that as after its start.
+  time_point loaded_at() const { return loaded_at_; }
   std::uint64_t fencing_number() const { return fencing_number_; }
   /// `idle`, `loading` or `ready`.
   std::string State() const;
@@ -60,6 +63,7 @@
   std::optional<assignment> current_;
   std::size_t interval_ = 0;
   bool ready_ = false;
+  time_point loaded_at_{};
   std::uint64_t fencing_number_ = 0;
   /// Model and rank of the weights in memory; they stay there after a release.
   std::optional<held_weights> held_;
--- a/tests/unit/peer_table_test.cc
+++ b/tests/unit/peer_table_test.cc
@@ -113,6 +113,12 @@
   }
 }
 
+TEST_CASE("status goes to listed peers of a domain of which none is live", "[membership]") {
+  // Guards against two domains that each wait for the other's first status after a start.
+  const peer_table table = HeardFromAll("ifo0", "ifo");
+  REQUIRE(table.SelectBridges(kNow + std::chrono::seconds(10)).size() == 4);
+}
+
 TEST_CASE("status of another domain is forwarded once", "[membership]") {
   // Forwarding what was already forwarded would circulate without end.
   const peer_table table = HeardFromAll("ifo0", "ifo");
