groups: detect single failures sooner and take returning members back

Cause: a fixed silence limit of 4 s delays every repair by 2 s, only because the death of an entry VM silences several backend servers at once. Change: when at most two VMs are newly silent, their members are replaced as soon as their reports expire; a replaced member that returns with its weights before its substitute is ready is taken back. A policy chooses whether a leaving member is replaced in place or by forming another replica first. Tests cover lost and late orders, and generations that no report shows. Ruled out: one limit of 2 s for all; the death of an entry VM would start a repair of every replica that it polled. Removing the wait after an unconfirmed order, or the fencing number from generations, makes a test fail.

--- a/include/waxwingwing/groups/planner_types.h
+++ b/include/waxwingwing/groups/planner_types.h
@@ -25,6 +25,15 @@
   kWarm,
 };
 
+/// What is done first for a replica with a leaving member and spares in its fabric domain.
+enum class leaving_policy {
+  /// Form another replica when there is room for a whole one, then drain the old one.
+  kFormFirst,
+  /// Drain the replica, then replace the member. Loads one VM instead of all, while the replica
+  /// takes no new requests in either case.
+  kInPlace,
+};
+
 struct planner_options {
   /// `best_fit` or `first_fit`.
   std::string packing = "best_fit";
@@ -33,10 +42,14 @@
   spare_policy spares = spare_policy::kWarm;
   /// VMs of the domain that load weights at a time.
   std::uint32_t max_loads = 4;
+  leaving_policy leaving = leaving_policy::kFormFirst;
   /// A member whose newest report is older is replaced. Longer than the lifetime of a report: after
   /// the death of an entry VM its backend servers are silent for 2 s plus a poll and a relay, and
   /// must not be replaced for that.
   milliseconds silent_limit{4000};
+  /// When no more VMs than this became silent together, no entry VM died, and a member is replaced
+  /// as soon as its report has expired. A member that returns in time is taken back.
+  std::uint32_t few_silent = 2;
   /// Longest time an order is under way; also the time after which it is repeated.
   milliseconds order_timeout{2000};
   /// A replica that leaves is released after this time even if requests still run.
@@ -65,6 +78,8 @@
   waxwingwing::generation generation;
   /// In rank order.
   std::vector<vm_id> members;
+  /// Members of the previous generation that were replaced, by rank, until the replica is whole.
+  std::map<std::uint32_t, vm_id> replaced;
   plan_phase phase = plan_phase::kForming;
   /// When the replica last came closer to being complete.
   time_point progress_at{};
--- a/src/groups/plan_editor.cc
+++ b/src/groups/plan_editor.cc
@@ -53,6 +53,8 @@
     vm_view* old_view = pool_.Find(replica.members[rank]);
     if (old_view != nullptr && old_view->owner == replica.id) old_view->owner = replica_id();
     // The old member is not free here: it is silent, leaving or holds an assignment.
+    // The member of the last complete generation is the one that may still hold its weights.
+    replica.replaced.try_emplace(rank, replica.members[rank]);
     replica.members[rank] = pool_.Take(fabric, replica.id, replica.model, rank);
     assert(!replica.members[rank].empty());
   }
@@ -63,6 +65,29 @@
   replica.drain_since.reset();
 }
 
+void plan_editor::TakeBackMembers(planned_replica& replica) {
+  bool changed = false;
+  for (auto item = replica.replaced.begin(); item != replica.replaced.end();) {
+    const auto& [rank, member] = *item;
+    vm_view* view = pool_.Find(member);
+    const backend_assignment* held = view == nullptr ? nullptr : view->Assignment();
+    const bool usable = held != nullptr && view->fresh && !view->leaving() && view->owner.empty() &&
+                        held->replica == replica.id && held->rank == rank &&
+                        view->report->state == backend_state::kReady;
+    if (!usable || pool_.ConditionOf(replica, rank) == member_condition::kReady) {
+      ++item;
+      continue;
+    }
+    vm_view* substitute = pool_.Find(replica.members[rank]);
+    if (substitute != nullptr && substitute->owner == replica.id) substitute->owner = replica_id();
+    view->owner = replica.id;
+    replica.members[rank] = member;
+    item = replica.replaced.erase(item);
+    changed = true;
+  }
+  if (changed) replica.generation = NewGeneration();
+}
+
 void plan_editor::Drain(planned_replica& replica) {
   if (replica.phase == plan_phase::kDraining) return;
   replica.phase = plan_phase::kDraining;
--- a/src/groups/plan_editor.h
+++ b/src/groups/plan_editor.h
@@ -25,6 +25,9 @@
   /// Puts free VMs of the replica's fabric domain, which must have enough of them, in the place of
   /// the members of these ranks.
   void ReplaceMembers(planned_replica& replica, const std::vector<std::uint32_t>& ranks);
+  /// Puts replaced members that returned with their weights back in the place of substitutes that
+  /// are not ready.
+  void TakeBackMembers(planned_replica& replica);
   /// Starts the wait for the end of running requests before the release.
   void Drain(planned_replica& replica);
   /// Takes the replica out of the plan; its VMs are released by the orders that follow.
--- a/src/groups/planning_round.cc
+++ b/src/groups/planning_round.cc
@@ -71,6 +71,7 @@
 }
 
 void planning_round::UpdatePhase(planned_replica& replica) {
+  if (replica.phase == plan_phase::kForming) editor_.TakeBackMembers(replica);
   ObserveStragglers(replica, pool_, options_, input_.now);
   replica_health health = ExamineReplica(replica, pool_, options_, input_.now);
   if (replica.phase == plan_phase::kDraining) {
@@ -85,6 +86,7 @@
   }
   if (health.whole) {
     replica.phase = plan_phase::kServing;
+    replica.replaced.clear();
     CompleteSuccession(replica);
     if (health.unwanted.empty()) ReleaseSuccessorOf(replica.id);
   }
@@ -275,7 +277,12 @@
     }
     return;
   }
-  if (const auto fabric = ChooseFabric(group)) {
+  const bool leaves =
+      std::any_of(health.unwanted.begin(), health.unwanted.end(),
+                  [&](std::uint32_t rank) { return pool_.Find(replica.members[rank])->leaving(); });
+  const bool in_place = leaves && options_.leaving == leaving_policy::kInPlace && enough_spares;
+  const auto fabric = ChooseFabric(group);
+  if (fabric && !in_place) {
     editor_.Form(group, *fabric, replica.id);
   } else if (enough_spares) {
     replica.drain_since = input_.now;
--- a/src/groups/vm_pool.cc
+++ b/src/groups/vm_pool.cc
@@ -10,6 +10,7 @@
     if (entry.role != vm_role::kEngine || entry.failure_domain != input.domain) continue;
     AddView(input, entry, state);
   }
+  ExpireFewSilent();
   std::erase_if(state.vms, [this](const auto& item) { return !views_.contains(item.first); });
   for (auto& [fabric, vms] : by_fabric_) std::sort(vms.begin(), vms.end());
 }
@@ -29,6 +30,15 @@
   if (views_.emplace(entry.id, view).second) by_fabric_[entry.fabric_domain].push_back(entry.id);
 }
 
+void vm_pool::ExpireFewSilent() {
+  std::vector<vm_view*> newly_silent;
+  for (auto& [id, view] : views_) {
+    if (view.report != nullptr && !view.fresh && !view.silent) newly_silent.push_back(&view);
+  }
+  if (newly_silent.size() > options_.few_silent) return;
+  for (vm_view* view : newly_silent) view->silent = true;
+}
+
 vm_view* vm_pool::Find(const vm_id& vm) {
   const auto found = views_.find(vm);
   return found == views_.end() ? nullptr : &found->second;
--- a/src/groups/vm_pool.h
+++ b/src/groups/vm_pool.h
@@ -73,6 +73,7 @@
 
  private:
   void AddView(const planner_input& input, const vm_entry& entry, planner_state& state);
+  void ExpireFewSilent();
   std::uint64_t Preference(const vm_view& view, const std::string& model, std::uint32_t rank) const;
 
   const planner_options& options_;
