--- /dev/null
+++ b/include/waxwingwing/streaming/engine_stream.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "waxwingwing/core/ids.h"
+#include "waxwingwing/core/units.h"
+#include "waxwingwing/streaming/event_parser.h"
+
+namespace waxwingwing {
+
+/// Why an event, or a whole response, was not taken as part of the attempt's answer.
+enum class drop_reason {
+  kNone,
+  kForeignRequest,
+  kForeignAttempt,
+  kRepeatedIndex,
+  kGap,
+  kMalformed,
+  kAfterEnd,
+  kEngineError,
+  kEventTooLarge,
+};
+
+/// Label value of the reason in counters, such as `foreign_attempt`.
+std::string_view ToText(drop_reason reason);
+
+/// Matches the events of one engine response to the attempt that asked for it.
+///
+/// A stream is complete only after `[DONE]`. A gap, a foreign id or an unreadable event makes the
+/// attempt unusable, since tokens of the answer may have gone elsewhere; the caller then resumes
+/// from `next_index()` with a new attempt.
+class engine_stream {
+ public:
+  enum class verdict { kToken, kDropped, kUnusable, kComplete };
+
+  struct event_result {
+    verdict outcome = verdict::kDropped;
+    /// Set when the event was dropped or made the attempt unusable.
+    drop_reason reason = drop_reason::kNone;
+    /// Text of the token; set for `kToken`.
+    std::string content;
+    /// Empty while the answer goes on.
+    std::string finish_reason;
+  };
+
+  /// `first_index` is the number of tokens that the caller already has.
+  engine_stream(request_id request, attempt_id attempt, token_count first_index)
+      : request_(std::move(request)), attempt_(std::move(attempt)), next_index_(first_index) {}
+
+  /// Checks the ids in the response headers; anything but `kNone` makes the attempt unusable.
+  drop_reason CheckHeaders(std::string_view request, std::string_view attempt);
+
+  event_result Accept(const server_event& event);
+
+  bool complete() const { return complete_; }
+  bool usable() const { return usable_; }
+  /// Index of the token that is expected next, that is, the offset to resume from.
+  token_count next_index() const { return next_index_; }
+
+ private:
+  event_result Unusable(drop_reason reason);
+  static event_result Dropped(drop_reason reason);
+
+  request_id request_;
+  attempt_id attempt_;
+  token_count next_index_;
+  bool complete_ = false;
+  bool usable_ = true;
+};
+
+}  // namespace waxwingwing
