gateway: serve callers through the filter chain

Cause: entry VMs need the request path from callers to backend servers. Ruled out: a selector for each thread, since waiting requests are placed by whichever thread frees room; each queue owns one and uses it under its lock.

--- /dev/null
+++ b/src/gateway/answer_collector.cc
@@ -0,0 +1,80 @@
+#include "gateway/answer_collector.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+#include "gateway/async_event.h"
+
+namespace waxwingwing {
+namespace {
+
+// An account without room gives no notice when it has room again, so it is asked this often.
+constexpr milliseconds kAccountInterval{20};
+
+}  // namespace
+
+answer_collector::answer_collector(request_context& context)
+    : context_(context), account_(context.core.accounts.Find(*context.organisation)) {}
+
+answer_collector::~answer_collector() { account_->Release(byte_count(content_.size())); }
+
+awaitable<push_result> answer_collector::Push(const std::string&,
+                                              const engine_stream::event_result& token) {
+  const gateway_settings& settings = context_.core.settings;
+  const byte_count added(token.content.size());
+  if (byte_count(content_.size()) + added > settings.max_collected_answer) {
+    co_return push_result::kTooLarge;
+  }
+  async_event pause(context_.executor());
+  const time_point give_up = std::chrono::steady_clock::now() + settings.stall_timeout;
+  while (!account_->TryReserve(added)) {
+    const time_point now = std::chrono::steady_clock::now();
+    if (context_.caller->gone()) co_return push_result::kCallerGone;
+    if (now >= give_up) co_return push_result::kStalled;
+    co_await pause.WaitUntil(now + kAccountInterval);
+  }
+  content_ += token.content;
+  if (!token.finish_reason.empty()) finish_reason_ = token.finish_reason;
+  ++tokens_;
+  co_return push_result::kTaken;
+}
+
+awaitable<bool> answer_collector::WaitUntilRead() {
+  // Its own bytes are never read before the answer is complete, so waiting helps only when other
+  // streams of the organisation end.
+  async_event pause(context_.executor());
+  while (!context_.caller->gone()) {
+    const byte_count probe(1);
+    if (account_->TryReserve(probe)) {
+      account_->Release(probe);
+      co_return true;
+    }
+    co_await pause.WaitUntil(std::chrono::steady_clock::now() + kAccountInterval);
+  }
+  co_return false;
+}
+
+awaitable<void> answer_collector::Complete() {
+  nlohmann::json message;
+  message["role"] = "assistant";
+  message["content"] = content_;
+  nlohmann::json choice;
+  choice["index"] = 0;
+  choice["message"] = std::move(message);
+  choice["finish_reason"] = finish_reason_;
+  nlohmann::json document;
+  document["id"] = context_.id.str();
+  document["object"] = "chat.completion";
+  document["model"] = context_.model_group->id.str();
+  document["choices"] = nlohmann::json::array({std::move(choice)});
+  document["usage"]["completion_tokens"] = tokens_;
+  context_.answer.body = document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  co_return;
+}
+
+awaitable<void> answer_collector::Fail(const refusal& reason) {
+  context_.Refuse(reason);
+  co_return;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/claim_guard.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "waxwingwing/gateway/control_access.h"
+
+namespace waxwingwing {
+
+/// A won claim of an idempotency key.
+///
+/// Frees the key at the end of its life unless a byte of the call may have been sent.
+class claim_guard {
+ public:
+  claim_guard(control_access& control, append_id claim)
+      : control_(control), claim_(std::move(claim)) {}
+  claim_guard(const claim_guard&) = delete;
+  claim_guard& operator=(const claim_guard&) = delete;
+  ~claim_guard() {
+    if (!sent_) control_.ReleaseClaim(claim_);
+  }
+
+  /// Call before the first byte is written to a backend server.
+  void SetSent() { sent_ = true; }
+  void Record(recorded_outcome outcome) { control_.RecordOutcome(claim_, std::move(outcome)); }
+
+ private:
+  control_access& control_;
+  append_id claim_;
+  bool sent_ = false;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/dispatch_group.cc
@@ -0,0 +1,74 @@
+#include "gateway/dispatch_group.h"
+
+#include <algorithm>
+
+namespace waxwingwing {
+
+dispatch_group::dispatch_group(kind type, std::string name,
+                               const snapshot_cell<routing_snapshot>& snapshots,
+                               std::unique_ptr<replica_selector> selector)
+    : type_(type),
+      model_group_(type == kind::kModelGroup ? name : std::string()),
+      service_(type == kind::kService ? name : std::string()),
+      snapshots_(snapshots),
+      selector_(std::move(selector)) {}
+
+dispatch_group::placing dispatch_group::TryPlace(const placement_request& request,
+                                                 std::unique_ptr<backend_placement>& placement,
+                                                 time_point now) {
+  const auto snapshot = snapshots_.Get();
+  if (snapshot->dispatch_suspended) return placing::kSuspended;
+  const std::vector<backend_view>& backends = Backends(*snapshot);
+  const selection_input input{backends, snapshot->own_domain, request.prefix_hash, now};
+  const std::vector<std::size_t> order = selector_->Rank(input);
+  if (TryBackends(backends, order, request, false, placement)) return placing::kPlaced;
+  const bool others = std::any_of(order.begin(), order.end(), [&](std::size_t index) {
+    const backend_run run(backends[index].vm, backends[index].incarnation);
+    return !request.failed.contains(run) && !request.dead.contains(run);
+  });
+  // A server that failed this request is used again only when waiting for another has no prospect.
+  if (!others && TryBackends(backends, order, request, true, placement)) return placing::kPlaced;
+  return placing::kNoRoom;
+}
+
+bool dispatch_group::TryBackends(const std::vector<backend_view>& backends,
+                                 const std::vector<std::size_t>& order,
+                                 const placement_request& request, bool use_failed,
+                                 std::unique_ptr<backend_placement>& placement) {
+  for (const std::size_t index : order) {
+    const backend_view& view = backends[index];
+    if (!view.routable || view.budget == nullptr) continue;
+    const backend_run run(view.vm, view.incarnation);
+    if (request.dead.contains(run)) continue;
+    if (request.failed.contains(run) != use_failed) continue;
+    auto ticket = admission_ticket::TryAcquire(view.budget, request.kv_cost);
+    if (!ticket) continue;
+    placement = std::make_unique<backend_placement>(backend_placement{view, std::move(*ticket)});
+    return true;
+  }
+  return false;
+}
+
+bool dispatch_group::HasRoutable(const std::vector<backend_view>& backends) {
+  return std::any_of(backends.begin(), backends.end(),
+                     [](const backend_view& view) { return view.routable; });
+}
+
+const std::vector<backend_view>& dispatch_group::Backends(const routing_snapshot& snapshot) const {
+  static const std::vector<backend_view> kNone;
+  if (type_ == kind::kModelGroup) {
+    const auto found = snapshot.replicas.find(model_group_);
+    return found == snapshot.replicas.end() ? kNone : found->second;
+  }
+  const auto found = snapshot.services.find(service_);
+  return found == snapshot.services.end() ? kNone : found->second;
+}
+
+bool dispatch_group::TakeReportTurn(time_point now, duration interval) {
+  duration::rep last = last_report_.load(std::memory_order_relaxed);
+  const duration::rep current = now.time_since_epoch().count();
+  if (current - last < interval.count()) return false;
+  return last_report_.compare_exchange_strong(last, current, std::memory_order_relaxed);
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/engine_attempt.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "gateway/answer_sink.h"
+#include "gateway/backend_connection.h"
+#include "gateway/request_context.h"
+#include "waxwingwing/streaming/attempt_policy.h"
+#include "waxwingwing/streaming/engine_stream.h"
+
+namespace waxwingwing {
+
+/// How one attempt ended.
+struct attempt_end {
+  enum class kind { kComplete, kFailed, kStalled, kCallerGone, kTooLarge };
+
+  kind outcome = kind::kComplete;
+  /// Set for `kFailed`.
+  attempt_failure failure = attempt_failure::kConnectFailed;
+  bool byte_may_be_sent = false;
+  /// The engine may still be working on the attempt.
+  bool to_cancel = false;
+};
+
+/// One attempt to get the rest of an answer from one engine over its own connection.
+class engine_attempt {
+ public:
+  /// `first_index` is the number of tokens that the sink already has.
+  engine_attempt(request_context& context, answer_sink& sink, const backend_view& view,
+                 attempt_id id, token_count first_index, time_point& last_token_at);
+
+  awaitable<attempt_end> Run();
+  token_count next_index() const { return stream_.next_index() - untaken_; }
+
+ private:
+  using header_parser = http::response_parser<http::buffer_body>;
+
+  awaitable<attempt_end> Exchange();
+  awaitable<error_code> SendRequest();
+  awaitable<attempt_end> ReadEvents(header_parser& parser);
+  /// Nothing while the attempt goes on.
+  awaitable<std::optional<attempt_end>> TakeEvents(std::vector<server_event>& events);
+  std::optional<attempt_end> CheckResponse(const http::response_header<>& header);
+  awaitable<attempt_end> EndOfConnection(error_code error);
+  awaitable<attempt_end> EndOfSilence();
+  attempt_end Failed(attempt_failure failure) const;
+  attempt_end Ended(attempt_end::kind outcome) const;
+  void ObserveToken();
+
+  request_context& context_;
+  answer_sink& sink_;
+  const backend_view& view_;
+  attempt_id id_;
+  time_point& last_token_at_;
+  backend_connection connection_;
+  engine_stream stream_;
+  event_parser events_;
+  /// 1 when the newest accepted token could not be given to the sink.
+  token_count untaken_;
+  bool sent_ = false;
+  bool header_read_ = false;
+  bool token_read_ = false;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/engine_relay.cc
@@ -0,0 +1,119 @@
+#include "gateway/engine_relay.h"
+
+#include <chrono>
+
+#include "gateway/backend_calls.h"
+#include "gateway/placer.h"
+
+namespace waxwingwing {
+
+awaitable<void> engine_relay::Run() {
+  bool again = true;
+  while (again) {
+    const attempt_end end = co_await RunAttempt();
+    again = co_await Continue(end);
+  }
+}
+
+awaitable<attempt_end> engine_relay::RunAttempt() {
+  const attempt_id id(context_.home.random().HexId());
+  const backend_view& view = context_.placement->view;
+  engine_attempt attempt(context_, sink_, view, id, delivered_, last_token_at_);
+  const attempt_end end = co_await attempt.Run();
+  delivered_ = attempt.next_index();
+  byte_may_be_sent_ = byte_may_be_sent_ || end.byte_may_be_sent;
+  if (end.to_cancel) CancelAttempt(context_.executor(), context_.core, view.address, id);
+  co_return end;
+}
+
+awaitable<bool> engine_relay::Continue(const attempt_end& end) {
+  using kind = attempt_end::kind;
+  bool again = false;
+  if (end.outcome == kind::kComplete) {
+    // The engine is done; a slow caller must not keep the ticket.
+    context_.ReleasePlacement();
+    co_await sink_.Complete();
+  } else if (end.outcome == kind::kStalled) {
+    again = co_await AfterStall();
+  } else if (end.outcome == kind::kFailed) {
+    again = co_await AfterFailure(end.failure);
+  } else if (end.outcome == kind::kTooLarge) {
+    co_await Fail({"answer_too_large", "the answer exceeds the limit; stream it instead"});
+  } else {
+    Abandon();
+  }
+  co_return again;
+}
+
+awaitable<bool> engine_relay::AfterStall() {
+  context_.ReleasePlacement();
+  const bool read = co_await sink_.WaitUntilRead();
+  if (!read) {
+    Abandon();
+    co_return false;
+  }
+  context_.core.metrics.CountRetry("slow_caller");
+  co_return co_await PlaceAgain();
+}
+
+awaitable<bool> engine_relay::AfterFailure(attempt_failure failure) {
+  attempt_situation situation;
+  situation.failure = failure;
+  situation.delivered = delivered_;
+  situation.byte_may_be_sent = byte_may_be_sent_;
+  situation.retries = retries_;
+  situation.max_retries = context_.core.settings.max_retries;
+  const auto take_budget = [this] { return context_.core.retries.TryTake(); };
+  const attempt_decision decision = DecideNextStep(situation, take_budget);
+  if (decision.step == next_step::kGiveUp) {
+    const refusal reason{decision.code, "the last attempt failed: " + std::string(ToText(failure)),
+                         decision.truth};
+    co_await Fail(reason);
+    co_return false;
+  }
+  ++retries_;
+  context_.core.metrics.CountRetry(ToText(failure));
+  if (decision.step == next_step::kResumeSame) co_return true;
+  Exclude(failure);
+  context_.ReleasePlacement();
+  co_return co_await PlaceAgain();
+}
+
+awaitable<bool> engine_relay::PlaceAgain() {
+  const time_point now = std::chrono::steady_clock::now();
+  const time_point resume_by = now + context_.core.settings.resume_deadline;
+  // An answer that has begun is worth more than the wait that the caller set for its beginning.
+  const time_point deadline = delivered_.get() > 0 ? resume_by : context_.deadline;
+  const placement_outcome outcome = co_await WaitForPlacement(context_, deadline);
+  if (outcome.status == placement_status::kPlaced) co_return true;
+  if (outcome.status == placement_status::kCallerGone) {
+    Abandon();
+    co_return false;
+  }
+  co_await Fail(ToRefusal(outcome));
+  co_return false;
+}
+
+awaitable<void> engine_relay::Fail(refusal reason) {
+  context_.ReleasePlacement();
+  if (byte_may_be_sent_) reason.truth = attempt_truth::kUnknown;
+  co_await sink_.Fail(reason);
+}
+
+void engine_relay::Abandon() {
+  context_.core.metrics.CountRefusal("caller_gone");
+  context_.ReleasePlacement();
+  context_.answer_sent = true;
+  context_.keep_alive = false;
+}
+
+void engine_relay::Exclude(attempt_failure failure) {
+  const backend_view& view = context_.placement->view;
+  const backend_run run(view.vm, view.incarnation);
+  const bool dead =
+      failure == attempt_failure::kServerDead || failure == attempt_failure::kConnectFailed;
+  auto& runs = dead ? context_.placement_input.dead : context_.placement_input.failed;
+  runs.insert(run);
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/engine_relay.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/answer_sink.h"
+#include "gateway/engine_attempt.h"
+#include "gateway/request_context.h"
+
+namespace waxwingwing {
+
+/// Gets one answer from engines, with as many attempts as the policy allows, and gives it to a
+/// sink.
+class engine_relay {
+ public:
+  engine_relay(request_context& context, answer_sink& sink) : context_(context), sink_(sink) {}
+
+  /// Returns when the answer is complete or has failed. The context needs a placement.
+  awaitable<void> Run();
+
+ private:
+  awaitable<attempt_end> RunAttempt();
+  /// These return whether another attempt follows.
+  awaitable<bool> Continue(const attempt_end& end);
+  awaitable<bool> AfterStall();
+  awaitable<bool> AfterFailure(attempt_failure failure);
+  awaitable<bool> PlaceAgain();
+  awaitable<void> Fail(refusal reason);
+  void Abandon();
+  void Exclude(attempt_failure failure);
+
+  request_context& context_;
+  answer_sink& sink_;
+  token_count delivered_;
+  std::uint32_t retries_ = 0;
+  bool byte_may_be_sent_ = false;
+  time_point last_token_at_{};
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <string_view>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/ids.h"
+#include "waxwingwing/metrics/metrics_registry.h"
+
+namespace waxwingwing {
+
+/// The metrics of the request path. Safe for use by several threads.
+class gateway_metrics {
+ public:
+  explicit gateway_metrics(metrics_registry& registry);
+
+  /// `target` is the model group or service.
+  void CountRequest(const organisation_id& organisation, std::string_view target);
+  void CountRefusal(std::string_view reason);
+  void CountRetry(std::string_view reason);
+  /// A response, or an event of one, that does not belong to the attempt.
+  void CountDropped(std::string_view reason);
+  void CountAttempt() { attempts_.Increment(); }
+  void CountCancelled() { cancelled_.Increment(); }
+  void ObserveFirstToken(duration since_arrival);
+  void ObserveTokenGap(duration since_last);
+  void SetBuffered(const organisation_id& organisation, std::int64_t bytes);
+  void SetBufferedTotal(std::int64_t bytes) { buffered_total_.Set(bytes); }
+
+  gauge& connections() { return connections_; }
+  gauge& running() { return running_; }
+  std::string ToText() const { return registry_.ToText(); }
+
+ private:
+  metrics_registry& registry_;
+  counter& attempts_;
+  counter& cancelled_;
+  gauge& connections_;
+  gauge& running_;
+  gauge& buffered_total_;
+  quantile_summary& first_token_;
+  quantile_summary& token_gap_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/idempotency_filter.cc
@@ -0,0 +1,98 @@
+#include "gateway/idempotency_filter.h"
+
+#include <chrono>
+
+#include "gateway/callback_wait.h"
+#include "waxwingwing/core/hash.h"
+
+namespace waxwingwing {
+namespace {
+
+// The control thread answers by the deadline; this much more covers its own delay.
+constexpr milliseconds kAnswerMargin{1000};
+constexpr milliseconds kRetryAfterUnavailable{2000};
+
+idempotency_key KeyOf(const request_context& context) {
+  idempotency_key key;
+  key.organisation = context.organisation->id;
+  // The service is a part of the key, so that services cannot answer for each other.
+  key.key = context.service->id.str() + "/" + std::string(context.Header("Idempotency-Key"));
+  const auto& request = context.parser.get();
+  std::string call(request.method_string());
+  call += '\n';
+  call += context.service_target;
+  call += '\n';
+  call += request.body();
+  key.fingerprint = StableHash(call);
+  return key;
+}
+
+void Replay(request_context& context, const recorded_outcome& outcome) {
+  context.answer.status = outcome.status;
+  context.answer.content_type = outcome.content_type;
+  context.answer.body = outcome.body;
+  context.answer.headers.push_back({"X-Idempotent-Replay", "true"});
+}
+
+void RefuseUnavailable(request_context& context, attempt_truth truth) {
+  context.key_may_be_used = false;
+  context.Refuse({"idempotency_unavailable", "the key cannot be claimed at present", truth,
+                  kRetryAfterUnavailable});
+}
+
+filter_step Conclude(request_context& context, const claim_answer& answer) {
+  switch (answer.result) {
+    case claim_result::kWon:
+      context.key_may_be_used = false;
+      context.claim = std::make_unique<claim_guard>(context.core.control, answer.claim);
+      return filter_step::kNext;
+    case claim_result::kRecorded:
+      if (answer.outcome) {
+        Replay(context, *answer.outcome);
+        return filter_step::kAnswered;
+      }
+      break;
+    case claim_result::kKeyReused:
+      context.key_may_be_used = false;
+      context.Refuse({"idempotency_key_reused", "the key was used for another call"});
+      return filter_step::kAnswered;
+    case claim_result::kUnavailableNotRun:
+      RefuseUnavailable(context, attempt_truth::kNotRun);
+      return filter_step::kAnswered;
+    case claim_result::kUnavailableUnknown:
+      RefuseUnavailable(context, attempt_truth::kUnknown);
+      return filter_step::kAnswered;
+    case claim_result::kOutcomeUnknown:
+      break;
+  }
+  context.Refuse({"outcome_unknown", "another request with this key has no recorded outcome",
+                  attempt_truth::kUnknown});
+  return filter_step::kAnswered;
+}
+
+}  // namespace
+
+awaitable<filter_step> idempotency_filter::Apply(request_context& context) const {
+  if (context.service == nullptr || context.service->repeatable) co_return filter_step::kNext;
+  if (context.Header("Idempotency-Key").empty()) {
+    context.Refuse({"idempotency_key_required", "this service needs an Idempotency-Key"});
+    co_return filter_step::kAnswered;
+  }
+  control_access& control = context.core.control;
+  // A claim that is won after this request has ended was not sent, so its key is free.
+  const auto release = [&control](const claim_answer& late) {
+    if (late.result == claim_result::kWon) control.ReleaseClaim(late.claim);
+  };
+  callback_wait<claim_answer> wait(context.executor(), context.home.inbox(), release);
+  const time_point now = std::chrono::steady_clock::now();
+  const auto left = std::chrono::ceil<milliseconds>(context.deadline - now);
+  control.ClaimKey(KeyOf(context), std::max(left, milliseconds(0)), wait.Callback());
+  const auto answer = co_await wait.WaitUntil(context.deadline + kAnswerMargin);
+  if (!answer) {
+    RefuseUnavailable(context, attempt_truth::kUnknown);
+    co_return filter_step::kAnswered;
+  }
+  co_return Conclude(context, *answer);
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/organisation_accounts.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <mutex>
+
+#include "gateway/gateway_metrics.h"
+#include "waxwingwing/config/configuration.h"
+#include "waxwingwing/streaming/buffer_account.h"
+
+namespace waxwingwing {
+
+/// The buffer accounts of all organisations, under the account of the process. Safe for use by
+/// several threads.
+class organisation_accounts {
+ public:
+  explicit organisation_accounts(byte_count process_limit)
+      : process_(std::make_shared<buffer_account>(process_limit)) {}
+
+  /// The organisation's account, with the limit that is configured now.
+  std::shared_ptr<buffer_account> Find(const organisation_config& organisation);
+  /// Sets the gauges of buffered bytes.
+  void Export(gateway_metrics& metrics) const;
+
+ private:
+  std::shared_ptr<buffer_account> process_;
+  mutable std::mutex mutex_;
+  std::map<organisation_id, std::shared_ptr<buffer_account>> accounts_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/own_endpoints.h
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "gateway/coroutine.h"
+#include "gateway/request_context.h"
+
+namespace waxwingwing {
+
+/// Answers the endpoints for the balancer and operators: health, metrics and administration.
+///
+/// False when the request is for another endpoint; the context then holds no answer.
+awaitable<bool> AnswerOwnEndpoint(request_context& context);
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/request_context.cc
@@ -0,0 +1,37 @@
+#include "gateway/request_context.h"
+
+#include <chrono>
+
+namespace waxwingwing {
+
+request_context::request_context(gateway_core& shared, worker& thread,
+                                 std::shared_ptr<caller_connection> caller_side)
+    : core(shared),
+      home(thread),
+      caller(std::move(caller_side)),
+      id(thread.random().HexId()),
+      arrived(std::chrono::steady_clock::now()) {}
+
+refusal request_context::Checked(refusal reason) {
+  if (key_may_be_used) reason.truth = attempt_truth::kUnknown;
+  if (reason.retry_after.count() > 0) {
+    // Spread over half to one and a half times, so that refused callers do not return together.
+    const double factor = 0.5 + home.random().Fraction();
+    const double jittered = static_cast<double>(reason.retry_after.count()) * factor;
+    reason.retry_after = milliseconds(static_cast<milliseconds::rep>(jittered) + 1);
+  }
+  core.metrics.CountRefusal(reason.code);
+  return reason;
+}
+
+void request_context::Refuse(const refusal& reason) { answer = ToAnswer(Checked(reason)); }
+
+std::string_view request_context::Header(std::string_view name) const { return parser.get()[name]; }
+
+void request_context::ReleasePlacement() {
+  if (placement == nullptr) return;
+  placement.reset();
+  group->queue().Dispatch(std::chrono::steady_clock::now());
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/request_context.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "gateway/caller_connection.h"
+#include "gateway/claim_guard.h"
+#include "gateway/dispatch_group.h"
+#include "gateway/gateway_core.h"
+#include "gateway/refusal.h"
+#include "gateway/worker.h"
+
+namespace waxwingwing {
+
+/// One request on its way through the filter chain.
+struct request_context {
+  request_context(gateway_core& shared, worker& thread,
+                  std::shared_ptr<caller_connection> caller_side);
+  request_context(const request_context&) = delete;
+  request_context& operator=(const request_context&) = delete;
+
+  /// Sets and counts the answer to a refused request.
+  void Refuse(const refusal& reason);
+  /// Counts a refusal that is answered in another way than by `answer`.
+  refusal Checked(refusal reason);
+  /// The value of a header field; empty when missing.
+  std::string_view Header(std::string_view name) const;
+  asio::any_io_executor executor() const { return home.context().get_executor(); }
+
+  gateway_core& core;
+  worker& home;
+  std::shared_ptr<caller_connection> caller;
+  request_id id;
+  time_point arrived;
+
+  // Set by the session.
+  http::request_parser<http::string_body> parser;
+
+  // Set by `identify`.
+  std::shared_ptr<const routing_snapshot> snapshot;
+  time_point deadline;
+  const organisation_config* organisation = nullptr;
+  const model_group_config* model_group = nullptr;
+  const service_config* service = nullptr;
+  std::shared_ptr<dispatch_group> group;
+  placement_request placement_input;
+  /// Body for the engine.
+  std::string engine_body;
+  /// Path and query for the plain service.
+  std::string service_target;
+  bool stream = false;
+
+  // Set by `idempotency`; after it the truth of a refusal is known.
+  std::unique_ptr<claim_guard> claim;
+  /// True while a call with the same idempotency key may have been sent earlier.
+  bool key_may_be_used = false;
+
+  // Set by `admission`.
+  std::unique_ptr<backend_placement> placement;
+  bool dispatch_suspended = false;
+
+  /// Gives the ticket back and lets waiting requests have its room.
+  void ReleasePlacement();
+
+  // The answer; `answer_sent` when it has been written already.
+  whole_answer answer;
+  bool answer_sent = false;
+  bool keep_alive = true;
+
+  ~request_context() { ReleasePlacement(); }
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/request_filter.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "gateway/coroutine.h"
+#include "gateway/request_context.h"
+
+namespace waxwingwing {
+
+enum class filter_step {
+  /// The next filter goes on.
+  kNext,
+  /// The context holds the answer, or it was sent.
+  kAnswered,
+};
+
+/// One step of the request path. Stateless, so that all requests of all threads share it.
+class request_filter {
+ public:
+  request_filter() = default;
+  request_filter(const request_filter&) = delete;
+  request_filter& operator=(const request_filter&) = delete;
+  virtual ~request_filter() = default;
+
+  virtual awaitable<filter_step> Apply(request_context& context) const = 0;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/route_filter.cc
@@ -0,0 +1,16 @@
+#include "gateway/route_filter.h"
+
+#include "gateway/placer.h"
+
+namespace waxwingwing {
+
+awaitable<filter_step> route_filter::Apply(request_context& context) const {
+  // The state may have become stale between the selection and this moment.
+  const bool suspended = context.dispatch_suspended || context.home.Snapshot()->dispatch_suspended;
+  if (!suspended) co_return filter_step::kNext;
+  context.ReleasePlacement();
+  context.Refuse(ToRefusal({placement_status::kSuspended, milliseconds(500)}));
+  co_return filter_step::kAnswered;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/service_relay.cc
@@ -0,0 +1,152 @@
+#include "gateway/service_relay.h"
+
+#include "gateway/backend_calls.h"
+#include "gateway/placer.h"
+
+namespace waxwingwing {
+namespace {
+
+using service_request = http::request<http::span_body<const char>>;
+
+void CopyHeader(const request_context& context, std::string_view name, service_request& request) {
+  const std::string_view value = context.Header(name);
+  if (!value.empty()) request.set(name, value);
+}
+
+service_request MakeRequest(const request_context& context, const backend_view& view) {
+  const auto& call = context.parser.get();
+  service_request request;
+  request.version(11);
+  request.method_string(call.method_string());
+  request.target(context.service_target);
+  request.set(http::field::host, view.address);
+  request.set("X-Request-Id", context.id.str());
+  CopyHeader(context, "Content-Type", request);
+  CopyHeader(context, "Idempotency-Key", request);
+  CopyHeader(context, "X-Organisation", request);
+  request.keep_alive(false);
+  request.body() = beast::span<const char>(call.body().data(), call.body().size());
+  request.prepare_payload();
+  return request;
+}
+
+}  // namespace
+
+awaitable<void> service_relay::Run() {
+  bool again = true;
+  while (again) {
+    const call_end end = co_await RunAttempt();
+    if (end.complete) break;
+    if (MayInterrupt() && context_.caller->gone()) {
+      context_.core.metrics.CountRefusal("caller_gone");
+      context_.answer_sent = true;
+      context_.keep_alive = false;
+      break;
+    }
+    again = co_await AfterFailure(end.failure);
+  }
+  context_.ReleasePlacement();
+}
+
+awaitable<service_relay::call_end> service_relay::RunAttempt() {
+  context_.core.metrics.CountAttempt();
+  backend_connection connection(context_.executor());
+  // A call that must not run twice goes on without its caller, so that its outcome is recorded.
+  if (MayInterrupt()) context_.caller->SetInterrupt([&connection] { connection.Close(); });
+  const call_end end = co_await Exchange(connection);
+  context_.caller->SetInterrupt(nullptr);
+  co_return end;
+}
+
+awaitable<service_relay::call_end> service_relay::Exchange(backend_connection& connection) {
+  const gateway_settings& settings = context_.core.settings;
+  const backend_view& view = context_.placement->view;
+  error_code error =
+      co_await connection.Connect(view.address, settings.socket_buffer, settings.connect_timeout);
+  if (error) co_return Failed(error, view);
+  byte_may_be_sent_ = true;
+  if (context_.claim != nullptr) context_.claim->SetSent();
+  const service_request request = MakeRequest(context_, view);
+  connection.stream().expires_after(settings.first_byte_timeout);
+  co_await http::async_write(connection.stream(), request, StoreError(error));
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(settings.max_collected_answer.get());
+  if (request.method() == http::verb::head) parser.skip(true);
+  if (!error) {
+    co_await http::async_read_header(connection.stream(), connection.buffer(), parser,
+                                     StoreError(error));
+  }
+  if (!error) {
+    connection.stream().expires_after(settings.first_byte_timeout);
+    co_await http::async_read(connection.stream(), connection.buffer(), parser, StoreError(error));
+  }
+  if (error) co_return Failed(error, view);
+  TakeAnswer(parser.get());
+  co_return call_end{true};
+}
+
+service_relay::call_end service_relay::Failed(const error_code& error,
+                                              const backend_view& view) const {
+  if (MayInterrupt() && context_.caller->gone()) return {false, attempt_failure::kNoAnswer};
+  const bool connected = error != asio::error::connection_refused;
+  if (!byte_may_be_sent_ || !connected || IsReset(error)) {
+    context_.core.control.ReportBackendFailure(view.vm, view.incarnation);
+  }
+  if (!byte_may_be_sent_) return {false, attempt_failure::kConnectFailed};
+  if (error == beast::error::timeout) return {false, attempt_failure::kFirstByteTimeout};
+  return {false, attempt_failure::kNoAnswer};
+}
+
+void service_relay::TakeAnswer(http::response<http::string_body>& response) {
+  const auto identity = IdentityIn(response.base());
+  if (identity) {
+    ReportIdentity(context_.core.control, context_.placement->view, *identity);
+  }
+  context_.answer.status = response.result_int();
+  context_.answer.content_type = response[http::field::content_type];
+  context_.answer.body = std::move(response.body());
+  RecordOutcome();
+}
+
+void service_relay::RecordOutcome() {
+  if (context_.claim == nullptr) return;
+  const whole_answer& answer = context_.answer;
+  // A part of an answer must not be replayed as the whole, so a larger one stays unrecorded and
+  // later requests with the key get `outcome_unknown`.
+  if (byte_count(answer.body.size()) > context_.core.settings.max_recorded_outcome) return;
+  context_.claim->Record({answer.status, answer.content_type, answer.body});
+}
+
+awaitable<bool> service_relay::AfterFailure(attempt_failure failure) {
+  attempt_situation situation;
+  situation.failure = failure;
+  situation.repeatable = context_.service->repeatable;
+  situation.byte_may_be_sent = byte_may_be_sent_;
+  situation.retries = retries_;
+  situation.max_retries = context_.core.settings.max_retries;
+  const auto take_budget = [this] { return context_.core.retries.TryTake(); };
+  const attempt_decision decision = DecideNextStep(situation, take_budget);
+  if (decision.step == next_step::kGiveUp) {
+    Fail({decision.code, "the last attempt failed: " + std::string(ToText(failure)),
+          decision.truth});
+    co_return false;
+  }
+  ++retries_;
+  context_.core.metrics.CountRetry(ToText(failure));
+  const backend_run run(context_.placement->view.vm, context_.placement->view.incarnation);
+  const bool dead = failure == attempt_failure::kConnectFailed;
+  auto& runs = dead ? context_.placement_input.dead : context_.placement_input.failed;
+  runs.insert(run);
+  context_.ReleasePlacement();
+  const placement_outcome outcome = co_await WaitForPlacement(context_, context_.deadline);
+  if (outcome.status == placement_status::kPlaced) co_return true;
+  Fail(ToRefusal(outcome));
+  co_return false;
+}
+
+void service_relay::Fail(refusal reason) {
+  if (byte_may_be_sent_) reason.truth = attempt_truth::kUnknown;
+  context_.Refuse(reason);
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/service_relay.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "gateway/backend_connection.h"
+#include "gateway/request_context.h"
+#include "waxwingwing/streaming/attempt_policy.h"
+
+namespace waxwingwing {
+
+/// Forwards one call to a plain service and takes its whole answer.
+class service_relay {
+ public:
+  explicit service_relay(request_context& context) : context_(context) {}
+
+  /// Sets the answer of the context, which needs a placement.
+  awaitable<void> Run();
+
+ private:
+  struct call_end {
+    bool complete = false;
+    attempt_failure failure = attempt_failure::kConnectFailed;
+  };
+
+  awaitable<call_end> RunAttempt();
+  awaitable<call_end> Exchange(backend_connection& connection);
+  call_end Failed(const error_code& error, const backend_view& view) const;
+  void TakeAnswer(http::response<http::string_body>& response);
+  void RecordOutcome();
+  /// Whether another attempt follows; `context_.placement` is then set.
+  awaitable<bool> AfterFailure(attempt_failure failure);
+  void Fail(refusal reason);
+  bool MayInterrupt() const { return context_.service->repeatable; }
+
+  request_context& context_;
+  std::uint32_t retries_ = 0;
+  bool byte_may_be_sent_ = false;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/gateway/session.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <memory>
+
+#include "gateway/filter_chain.h"
+#include "gateway/limits_filter.h"
+
+namespace waxwingwing {
+
+/// Serves the requests of one caller connection, one after the other.
+class session {
+ public:
+  session(gateway_core& core, worker& home, const filter_chain& filters, tcp::socket socket);
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+  ~session();
+
+  /// Runs until the connection ends.
+  awaitable<void> Run();
+
+ private:
+  /// Whether the connection stays open.
+  awaitable<bool> ServeRequest();
+  awaitable<void> Answer(request_context& context);
+
+  gateway_core& core_;
+  worker& home_;
+  const filter_chain& filters_;
+  std::shared_ptr<caller_connection> caller_;
+  limits_filter limits_;
+};
+
+}  // namespace waxwingwing
