daemon: add claim, credit and publishing parts and the control loop

Cause: request threads need one owner of control state behind the control access interface. Ruled out: counting only the own domain's roster after a takeover; entry VMs of other domains hold credits too.

--- a/include/waxwingwing/admission/credit_ledger.h
+++ b/include/waxwingwing/admission/credit_ledger.h
@@ -66,7 +66,7 @@
   };
 
   backend_amount FairShare(const vm_id& node, backend_amount wanted, time_point now) const;
-  backend_amount UnreportedHold() const;
+  backend_amount UnreportedHold(time_point now) const;
 
   generation generation_;
   incarnation incarnation_;
--- a/include/waxwingwing/routing/routing_snapshot.h
+++ b/include/waxwingwing/routing/routing_snapshot.h
@@ -33,9 +33,15 @@
   std::shared_ptr<backend_budget> budget;
 };
 
+/// The control thread publishes ten times a second. An older snapshot shows that the process was
+/// paused, so that its state may be out of date and its credits may have expired.
+inline constexpr milliseconds kSnapshotLifetime{1000};
+
 /// Everything a request needs for its decisions. Immutable; replaced as a whole by the control
 /// thread.
 struct routing_snapshot {
+  /// When the control thread published this; see `kSnapshotLifetime`.
+  time_point published_at{};
   /// Offset up to which the control stream is applied; the configuration in force.
   log_offset control_offset;
   bool has_configuration = false;
--- a/src/admission/credit_ledger.cc
+++ b/src/admission/credit_ledger.cc
@@ -86,7 +86,7 @@
   const backend_amount share = FairShare(node, wanted, now);
   account.KeepEarlierGrants(now);
   const backend_amount others = Remainder(Reserved(now), account.Reserved(now));
-  account.granted = Min(share, Remainder(pool_, Sum(others, UnreportedHold())));
+  account.granted = Min(share, Remainder(pool_, Sum(others, UnreportedHold(now))));
   account.granted_until = now + kGrantHold;
   return account.granted;
 }
@@ -119,8 +119,9 @@
   return Min(wanted, Max(Max(equal, unwanted), {request_count(1), equal.kv_tokens}));
 }
 
-backend_amount credit_ledger::UnreportedHold() const {
-  return term_settled_ ? backend_amount{} : held_;
+backend_amount credit_ledger::UnreportedHold(time_point now) const {
+  const bool settled = term_settled_ || now >= grants_from_ + kLongestRequest;
+  return settled ? backend_amount{} : held_;
 }
 
 }  // namespace waxwingwing
--- /dev/null
+++ b/src/daemon/credit_controller.cc
@@ -0,0 +1,202 @@
+#include "daemon/credit_controller.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "daemon/coroutine_timer.h"
+
+namespace waxwingwing {
+
+namespace {
+
+constexpr milliseconds kTick{50};
+constexpr milliseconds kAskInterval{250};
+/// Least time between two requests to one grantor when room is short.
+constexpr milliseconds kShortAskInterval{100};
+/// Requests asked for beyond the present use when one found no room.
+constexpr std::uint32_t kDemandStep = 2;
+
+}  // namespace
+
+credit_controller::credit_controller(control_context& context, lease_controller& lease,
+                                     const backend_catalog& catalog, budget_table& budgets,
+                                     send_function send)
+    : context_(context),
+      lease_(lease),
+      catalog_(catalog),
+      budgets_(budgets),
+      send_(std::move(send)) {}
+
+void credit_controller::Start() {
+  boost::asio::co_spawn(context_.io, Loop(), boost::asio::detached);
+}
+
+boost::asio::awaitable<void> credit_controller::Loop() {
+  time_point next = context_.clock.Now();
+  time_point soonest = next;
+  for (;;) {
+    const time_point now = context_.clock.Now();
+    if (now >= next || (ask_now_ && now >= soonest)) {
+      AskAll(now);
+      ask_now_ = false;
+      next = now + kAskInterval;
+      soonest = now + kShortAskInterval;
+    }
+    co_await SleepFor(kTick);
+  }
+}
+
+void credit_controller::AskAll(time_point now) {
+  for (const auto& [domain, lease] : context_.state.leases()) {
+    if (!lease.released) Ask(domain, lease, now);
+  }
+}
+
+void credit_controller::Ask(const failure_domain_id& domain, const domain_lease& lease,
+                            time_point now) {
+  sent_request& sent = sent_[domain];
+  // A new grantor must hear from every node what it uses, also when that is nothing.
+  const bool tell_all = !sent.any_answer || sent.answered != lease.fencing;
+  credit_request_message message;
+  message.request = ++last_request_;
+  message.failure_domain = domain;
+  for (const backend_unit& unit : catalog_.units()) {
+    if (unit.failure_domain != domain) continue;
+    const std::uint32_t wanted_before = budgets_.Get(unit.key).wanted;
+    credit_wish_message wish = WishFor(unit);
+    const bool idle = wish.wanted_requests.get() == 0 && wish.used_requests.get() == 0;
+    if (tell_all || !idle || wanted_before > 0) message.wishes.push_back(std::move(wish));
+  }
+  if (message.wishes.empty()) return;
+  sent.request = message.request;
+  sent.asked_at = now;
+  if (lease.vm == context_.settings.vm) {
+    HandleGrant(lease.vm, GrantAll(context_.settings.vm, message, now));
+  } else {
+    send_(lease.vm, message);
+  }
+}
+
+credit_wish_message credit_controller::WishFor(const backend_unit& unit) {
+  budget_table::entry& item = budgets_.Get(unit.key);
+  const backend_amount held = item.budget->InUse();
+  const backend_amount used = UsedBeyond(held, item.static_share);
+  const std::uint32_t unmet = item.budget->TakeUnmetDemand();
+  // Falls by a quarter each time without demand, so that a short lull does not give credits up.
+  std::uint32_t wanted = item.wanted - (item.wanted + 3) / 4;
+  wanted = std::max(wanted, used.requests.get());
+  if (unmet > 0) wanted = std::max(wanted, used.requests.get() + std::max(unmet, kDemandStep));
+  wanted = std::min(wanted, unit.warm_requests.get());
+  item.wanted = wanted;
+
+  credit_wish_message wish;
+  wish.replica = unit.key;
+  wish.generation = unit.generation;
+  wish.incarnation = unit.joint_incarnation;
+  wish.wanted_requests = request_count(wanted);
+  wish.used_requests = used.requests;
+  wish.used_kv_tokens = used.kv_tokens;
+  const std::uint64_t per_request =
+      unit.limit.kv_tokens.get() / std::max<std::uint32_t>(unit.warm_requests.get(), 1);
+  // A request may need more KV memory than an equal part.
+  wish.wanted_kv_tokens = token_count(std::max(per_request * wanted * 2, used.kv_tokens.get()));
+  return wish;
+}
+
+void credit_controller::HandleRequest(const vm_id& sender, const credit_request_message& request) {
+  if (request.failure_domain != context_.settings.failure_domain) return;
+  const time_point now = context_.clock.Now();
+  if (!MayGrant(now)) {
+    context_.metrics.Counter("waxwingwing_credit_requests_refused_total").Increment();
+    return;
+  }
+  send_(sender, GrantAll(sender, request, now));
+}
+
+void credit_controller::HandleGrant(const vm_id& sender, const credit_grant_message& grant) {
+  for (auto& [domain, sent] : sent_) {
+    if (sent.request != grant.request) continue;
+    const domain_lease* lease = context_.state.FindLease(domain);
+    if (lease == nullptr || lease->vm != sender || lease->fencing != grant.fencing) return;
+    sent.answered = grant.fencing;
+    sent.any_answer = true;
+    for (const credit_message& credit : grant.credits) {
+      const backend_amount amount{credit.requests, credit.kv_tokens};
+      budgets_.Get(credit.replica)
+          .credits.Accept(credit.generation, credit.incarnation, grant.fencing, amount,
+                          sent.asked_at);
+    }
+    return;
+  }
+}
+
+credit_grant_message credit_controller::GrantAll(const vm_id& node,
+                                                 const credit_request_message& request,
+                                                 time_point now) {
+  credit_grant_message grant;
+  grant.request = request.request;
+  if (!MayGrant(now)) return grant;
+  BeginTermIfNew(now);
+  ForgetEndedNodes();
+  grant.fencing = term_;
+  for (const credit_wish_message& wish : request.wishes) {
+    const backend_unit* unit = catalog_.Find(wish.replica);
+    if (unit == nullptr || unit->generation != wish.generation) continue;
+    if (unit->joint_incarnation != wish.incarnation) continue;
+    credit_ledger& ledger = LedgerFor(*unit);
+    const backend_amount wanted{wish.wanted_requests, wish.wanted_kv_tokens};
+    const backend_amount used{wish.used_requests, wish.used_kv_tokens};
+    const backend_amount granted = ledger.Grant(node, wanted, used, now);
+    grant.credits.push_back({wish.replica, wish.generation, wish.incarnation, granted.requests,
+                             granted.kv_tokens, kCreditTimeToLive});
+  }
+  return grant;
+}
+
+credit_ledger& credit_controller::LedgerFor(const backend_unit& unit) {
+  const auto [found, created] = ledgers_.try_emplace(unit.key);
+  credit_ledger& ledger = found->second;
+  if (created) ledger.BeginTerm(term_began_);
+  ledger.SetPool(unit.generation, unit.joint_incarnation, CreditPart(unit.limit));
+  ledger.SetHeld(unit.reported, PossibleHolders());
+  return ledger;
+}
+
+void credit_controller::BeginTermIfNew(time_point now) {
+  if (has_term_ && term_ == lease_.Fencing()) return;
+  has_term_ = true;
+  term_ = lease_.Fencing();
+  term_began_ = now;
+  ledgers_.clear();
+}
+
+void credit_controller::ForgetEndedNodes() {
+  for (const auto& [vm, peer] : context_.peers.peers()) {
+    const auto known = node_incarnations_.find(vm);
+    if (known != node_incarnations_.end() && known->second != peer.incarnation) {
+      for (auto& [key, ledger] : ledgers_) ledger.ForgetNode(vm);
+    }
+    node_incarnations_[vm] = peer.incarnation;
+  }
+  std::erase_if(node_incarnations_, [&](const auto& item) {
+    if (context_.peers.Find(item.first) != nullptr) return false;
+    for (auto& [key, ledger] : ledgers_) ledger.ForgetNode(item.first);
+    return true;
+  });
+}
+
+bool credit_controller::MayGrant(time_point now) const {
+  const auto end = lease_.ValidUntil();
+  // Credits must not outlive the lease, or a successor could grant the same again.
+  return lease_.IsHolder() && end.has_value() && now + kCreditTimeToLive < *end;
+}
+
+std::set<vm_id> credit_controller::PossibleHolders() const {
+  std::set<vm_id> nodes = {context_.settings.vm};
+  for (const auto& [vm, peer] : context_.peers.peers()) nodes.insert(vm);
+  return nodes;
+}
+
+}  // namespace waxwingwing
--- a/src/gateway/dispatch_group.cc
+++ b/src/gateway/dispatch_group.cc
@@ -17,7 +17,8 @@
                                                  std::unique_ptr<backend_placement>& placement,
                                                  time_point now) {
   const auto snapshot = snapshots_.Get();
-  if (snapshot->dispatch_suspended) return placing::kSuspended;
+  const bool outdated = now > snapshot->published_at + kSnapshotLifetime;
+  if (snapshot->dispatch_suspended || outdated) return placing::kSuspended;
   const std::vector<backend_view>& backends = Backends(*snapshot);
   const selection_input input{backends, snapshot->own_domain, request.prefix_hash, now};
   const std::vector<std::size_t> order = selector_->Rank(input);
