peer: add connections, server and network

Cause: entry VMs need one place that keeps connections to the others. Change: framed sessions with hello first, a bounded send queue, reconnection with jittered backoff, and a counter for each reason why a connection ended. Received frames are acknowledged by a hello when nothing else is sent, so that a silent connection is told from an idle one; a reply falls back to the connection that the peer opened. Ruled out: a connection per direction without acknowledgements, which cannot see that one direction is dead; a hello limit of 256 KiB, which would let strangers reserve memory (it is 4 KiB).

--- /dev/null
+++ b/include/waxwingwing/peer/peer_network.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "waxwingwing/core/ids.h"
+#include "waxwingwing/core/random_source.h"
+#include "waxwingwing/core/result.h"
+#include "waxwingwing/core/units.h"
+#include "waxwingwing/metrics/metrics_registry.h"
+#include "waxwingwing/peer/messages.h"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace waxwingwing {
+
+/// Another entry VM, as the VM list gives it.
+struct peer_address {
+  vm_id vm;
+  /// `ip:port`.
+  std::string address;
+
+  bool operator==(const peer_address&) const = default;
+};
+
+struct peer_settings {
+  std::string cluster;
+  vm_id own_vm;
+  failure_domain_id own_failure_domain;
+  waxwingwing::incarnation own_incarnation;
+  /// A connection on which something was sent and nothing received for this long is replaced.
+  milliseconds silence_limit{2000};
+  milliseconds connect_timeout{1000};
+  /// Waits before reconnecting; doubled after each failure, with jitter of 50%.
+  milliseconds first_backoff{100};
+  milliseconds longest_backoff{2000};
+};
+
+/// Exchanges messages with the other entry VMs of the cluster.
+///
+/// Keeps one outgoing connection to each address of `SetPeers` and accepts connections. A message
+/// goes out on the established outgoing connection, else on an accepted one, so that a peer that is
+/// not on the own VM list yet gets replies. Delivery is not guaranteed; requests carry an id that
+/// replies repeat. Use from the thread of the `io_context`, which must outlive the network; the
+/// metrics must outlive the runs of the context.
+class peer_network {
+ public:
+  /// Called for each message but hello; may call any member.
+  using message_handler = std::function<void(const vm_id&, peer_message)>;
+
+  peer_network(boost::asio::io_context& context, peer_settings settings, random_source random,
+               metrics_registry& metrics, message_handler on_message);
+  ~peer_network();
+  peer_network(const peer_network&) = delete;
+  peer_network& operator=(const peer_network&) = delete;
+
+  /// Accepts connections on `ip:port` (port 0: chosen by the system); gives the address in use.
+  result<std::string> Listen(const std::string& address);
+  /// Replaces the list of peers to connect to; the own VM is left out.
+  void SetPeers(const std::vector<peer_address>& peers);
+  /// Queues a message; false when no connection to the VM is established or the message is too
+  /// large.
+  bool Send(const vm_id& vm, const peer_message& message);
+  /// Whether a message to the VM would be queued.
+  bool IsConnected(const vm_id& vm) const;
+  /// Closes everything; no callback follows.
+  void Close();
+
+ private:
+  class implementation;
+  std::shared_ptr<implementation> implementation_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/peer/peer_counters.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <string_view>
+
+#include "waxwingwing/metrics/metrics_registry.h"
+#include "waxwingwing/peer/frame_codec.h"
+
+namespace waxwingwing {
+
+/// Why a connection to or from a peer ended.
+enum class close_reason {
+  kEnded,
+  kConnectFailed,
+  kOversized,
+  kUnknownVersion,
+  kUnknownType,
+  kMalformed,
+  kNoHelloFirst,
+  kHelloTimeout,
+  kOtherCluster,
+  kUnexpectedVm,
+  kSilent,
+  kReplaced,
+  kStopped,
+};
+
+std::string_view CloseReasonName(close_reason reason);
+/// The reason for closing a connection after a frame with an error.
+close_reason ReasonOf(frame_error error);
+
+/// Metrics of all peer connections of the process.
+class peer_counters {
+ public:
+  explicit peer_counters(metrics_registry& metrics);
+
+  void Closed(close_reason reason);
+  void DroppedFromQueue(bool status);
+  /// A message that was not sent, with the reason.
+  void Unsent(std::string_view reason);
+
+  counter& bytes_sent;
+  counter& bytes_received;
+  counter& frames_sent;
+  counter& frames_received;
+  /// Connections with a valid hello.
+  gauge& established;
+
+ private:
+  metrics_registry& metrics_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/peer/peer_session.cc
@@ -0,0 +1,168 @@
+#include "peer/peer_session.h"
+
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace waxwingwing {
+namespace {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+// A stranger cannot make the process reserve more than this.
+constexpr std::size_t kMaxHelloBytes = 4096;
+constexpr int kChecksPerSilenceLimit = 8;
+
+}  // namespace
+
+peer_session::peer_session(asio::ip::tcp::socket socket, std::shared_ptr<shared_state> shared,
+                           events callbacks)
+    : socket_(std::move(socket)),
+      timer_(socket_.get_executor()),
+      shared_(std::move(shared)),
+      events_(std::make_shared<const events>(std::move(callbacks))),
+      started_at_(std::chrono::steady_clock::now()),
+      last_sent_(started_at_) {}
+
+peer_session::~peer_session() = default;
+
+void peer_session::Start(bool connected_by_us) {
+  connected_by_us_ = connected_by_us;
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (connected_by_us) SendHello();
+  asio::co_spawn(socket_.get_executor(), ReadFrames(shared_from_this()), asio::detached);
+  asio::co_spawn(socket_.get_executor(), Watch(shared_from_this()), asio::detached);
+}
+
+bool peer_session::Send(const peer_message& message) {
+  if (!established()) return false;
+  auto frame = EncodeFrame(message);
+  if (!frame) {
+    shared_->counters.Unsent("too_large");
+    return false;
+  }
+  const bool status = std::holds_alternative<node_status_message>(message);
+  if (!unanswered_since_) unanswered_since_ = std::chrono::steady_clock::now();
+  Enqueue(*std::move(frame),
+          status ? send_queue::frame_kind::kStatus : send_queue::frame_kind::kOther);
+  return true;
+}
+
+void peer_session::SendHello() {
+  auto frame = EncodeFrame(shared_->own_hello);
+  if (frame) Enqueue(*std::move(frame), send_queue::frame_kind::kOther);
+}
+
+void peer_session::Enqueue(std::string frame, send_queue::frame_kind kind) {
+  const auto dropped = queue_.Push(std::move(frame), kind);
+  if (dropped) shared_->counters.DroppedFromQueue(*dropped == send_queue::frame_kind::kStatus);
+  last_sent_ = std::chrono::steady_clock::now();
+  owes_answer_ = false;
+  WriteNext();
+}
+
+void peer_session::WriteNext() {
+  if (closed_ || !writing_.empty() || queue_.empty()) return;
+  writing_ = queue_.Pop();
+  const auto written = [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+    self->shared_->counters.bytes_sent.Increment(bytes);
+    if (error) return self->Close(close_reason::kEnded);
+    self->shared_->counters.frames_sent.Increment();
+    self->writing_.clear();
+    self->WriteNext();
+  };
+  asio::async_write(socket_, asio::buffer(writing_), written);
+}
+
+asio::awaitable<void> peer_session::ReadFrames(std::shared_ptr<peer_session> self) {
+  std::array<unsigned char, kFrameLengthBytes> prefix{};
+  std::string body;
+  error_code error;
+  while (!self->closed_) {
+    const std::size_t prefix_bytes = co_await asio::async_read(
+        self->socket_, asio::buffer(prefix), asio::redirect_error(asio::use_awaitable, error));
+    self->shared_->counters.bytes_received.Increment(prefix_bytes);
+    if (error) break;
+    const std::size_t limit = self->peer_ ? kMaxFrameBytes : kMaxHelloBytes;
+    const frame_length length = DecodeLength(prefix, limit);
+    if (length.error != frame_error::kNone) {
+      self->Close(ReasonOf(length.error));
+      break;
+    }
+    body.resize(length.bytes);
+    const std::size_t body_bytes = co_await asio::async_read(
+        self->socket_, asio::buffer(body), asio::redirect_error(asio::use_awaitable, error));
+    self->shared_->counters.bytes_received.Increment(body_bytes);
+    if (error) break;
+    self->Handle(body);
+  }
+  self->Close(close_reason::kEnded);
+}
+
+void peer_session::Handle(std::string_view body) {
+  if (closed_) return;
+  decoded_frame decoded = DecodeBody(body);
+  if (!decoded.message) return Close(ReasonOf(decoded.error));
+  shared_->counters.frames_received.Increment();
+  unanswered_since_.reset();
+  const auto* hello = std::get_if<hello_message>(&*decoded.message);
+  if (hello != nullptr) return HandleHello(*hello);
+  if (!peer_) return Close(close_reason::kNoHelloFirst);
+  owes_answer_ = true;
+  const auto callbacks = events_;
+  callbacks->on_message(peer_->vm, *std::move(decoded.message));
+}
+
+void peer_session::HandleHello(const hello_message& hello) {
+  if (peer_) {
+    if (hello.vm != peer_->vm) Close(close_reason::kUnexpectedVm);
+    return;
+  }
+  if (hello.cluster != shared_->own_hello.cluster) return Close(close_reason::kOtherCluster);
+  const auto callbacks = events_;
+  const auto refused = callbacks->on_hello(hello);
+  if (closed_) return;
+  if (refused) return Close(*refused);
+  peer_ = hello;
+  shared_->counters.established.Add(1);
+  if (!connected_by_us_) SendHello();
+}
+
+asio::awaitable<void> peer_session::Watch(std::shared_ptr<peer_session> self) {
+  const auto step = self->shared_->settings.silence_limit / kChecksPerSilenceLimit;
+  error_code error;
+  while (!self->closed_) {
+    self->timer_.expires_after(step);
+    co_await self->timer_.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    if (!self->closed_) self->CheckTimes(std::chrono::steady_clock::now());
+  }
+}
+
+void peer_session::CheckTimes(time_point now) {
+  const milliseconds limit = shared_->settings.silence_limit;
+  if (!peer_ && now - started_at_ > limit) return Close(close_reason::kHelloTimeout);
+  if (unanswered_since_ && now - *unanswered_since_ > limit) return Close(close_reason::kSilent);
+  if (owes_answer_ && now - last_sent_ > limit / 2) SendHello();
+}
+
+void peer_session::Close(close_reason reason) {
+  if (closed_) return;
+  closed_ = true;
+  if (peer_) shared_->counters.established.Add(-1);
+  shared_->counters.Closed(reason);
+  error_code ignored;
+  socket_.close(ignored);
+  timer_.cancel();
+  const auto callbacks = events_;
+  callbacks->on_closed(reason);
+  // Frees what the callbacks hold; a callback that is running keeps its own reference.
+  events_ = std::make_shared<const events>();
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/peer/peer_session.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <utility>
+// clang-format off
+#include <boost/asio/awaitable.hpp>
+// clang-format on
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "peer/peer_counters.h"
+#include "peer/send_queue.h"
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/peer/frame_codec.h"
+#include "waxwingwing/peer/peer_network.h"
+
+namespace waxwingwing {
+
+/// One TCP connection between two entry VMs, in either direction.
+///
+/// Both sides send `hello` first. Received frames other than hello are acknowledged by any frame
+/// within half the silence limit, at the latest by another hello, so that a side that sent
+/// something and receives nothing can tell a silent connection from an idle one. Create with
+/// `make_shared`; use from one `io_context` thread.
+class peer_session : public std::enable_shared_from_this<peer_session> {
+ public:
+  struct events {
+    /// Checks the first hello; gives the reason to close, if there is one.
+    std::function<std::optional<close_reason>(const hello_message&)> on_hello;
+    std::function<void(const vm_id&, peer_message)> on_message;
+    /// Called once, at the end.
+    std::function<void(close_reason)> on_closed;
+  };
+
+  /// What all sessions of a network share; must outlive its sessions' callbacks.
+  struct shared_state {
+    peer_settings settings;
+    hello_message own_hello;
+    peer_counters counters;
+  };
+
+  peer_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<shared_state> shared,
+               events callbacks);
+  peer_session(const peer_session&) = delete;
+  peer_session& operator=(const peer_session&) = delete;
+  ~peer_session();
+
+  /// Starts reading. The side that connected sends its hello at once.
+  void Start(bool connected_by_us);
+  /// Queues a message; false when it cannot be encoded or the session is not established.
+  bool Send(const peer_message& message);
+  void Close(close_reason reason);
+
+  bool established() const { return peer_.has_value() && !closed_; }
+  const std::optional<hello_message>& peer() const { return peer_; }
+
+ private:
+  boost::asio::awaitable<void> ReadFrames(std::shared_ptr<peer_session> self);
+  boost::asio::awaitable<void> Watch(std::shared_ptr<peer_session> self);
+  void Handle(std::string_view body);
+  void HandleHello(const hello_message& hello);
+  void CheckTimes(time_point now);
+  void Enqueue(std::string frame, send_queue::frame_kind kind);
+  void SendHello();
+  void WriteNext();
+
+  boost::asio::ip::tcp::socket socket_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<shared_state> shared_;
+  std::shared_ptr<const events> events_;
+  send_queue queue_;
+  /// The frame that is being written; empty when none is.
+  std::string writing_;
+  std::optional<hello_message> peer_;
+  time_point started_at_;
+  time_point last_sent_;
+  /// When the first frame after the last received one was sent.
+  std::optional<time_point> unanswered_since_;
+  bool owes_answer_ = false;
+  bool connected_by_us_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace waxwingwing
