--- a/include/waxwingwing/admission/backend_budget.h
+++ b/include/waxwingwing/admission/backend_budget.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "waxwingwing/admission/backend_amount.h"
 #include "waxwingwing/core/units.h"
 
 namespace waxwingwing {
@@ -16,11 +17,6 @@
 /// threads acquire and release. All members are safe for use by several threads.
 class backend_budget {
  public:
-  struct usage {
-    request_count requests;
-    token_count kv_tokens;
-  };
-
   backend_budget() = default;
   backend_budget(const backend_budget&) = delete;
   backend_budget& operator=(const backend_budget&) = delete;
@@ -34,8 +30,8 @@
   bool TryAcquire(token_count kv_tokens);
   void Release(token_count kv_tokens);
 
-  usage InUse() const;
-  usage Limits() const;
+  backend_amount InUse() const;
+  backend_amount Limits() const;
   /// Requests that found no room since the last call; the credit controller asks for more then.
   std::uint32_t TakeUnmetDemand() { return unmet_.exchange(0, std::memory_order_relaxed); }
 
--- a/include/waxwingwing/admission/backend_limits.h
+++ b/include/waxwingwing/admission/backend_limits.h
@@ -3,19 +3,12 @@
 #include <cstdint>
 #include <string_view>
 
+#include "waxwingwing/admission/backend_amount.h"
 #include "waxwingwing/config/configuration.h"
 #include "waxwingwing/core/units.h"
 
 namespace waxwingwing {
 
-/// An amount of the two resources that a backend server has a limit on.
-struct backend_amount {
-  request_count requests;
-  token_count kv_tokens;
-
-  bool operator==(const backend_amount&) const = default;
-};
-
 /// What one replica may hold over all entry VMs, `ready_for` after it became ready. The request
 /// limit rises linearly from `cold_requests` to `max_requests`; the KV limit is constant, as memory
 /// does not grow.
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -63,8 +63,7 @@
 
   bool operator==(const backend_report_message&) const = default;
   MSGPACK_DEFINE(vm, failure_domain, incarnation, sequence, uptime, state, checks_fencing, fencing,
-                 assignment, running, kv_tokens_used, kv_tokens_limit, ms_per_token, age,
-                 ready_for)
+                 assignment, running, kv_tokens_used, kv_tokens_limit, ms_per_token, age, ready_for)
 };
 
 /// Status of an entry VM and the reports that it knows.
--- a/src/admission/backend_budget.cc
+++ b/src/admission/backend_budget.cc
@@ -20,12 +20,12 @@
   requests_.fetch_sub(1, std::memory_order_acq_rel);
 }
 
-backend_budget::usage backend_budget::InUse() const {
+backend_amount backend_budget::InUse() const {
   return {request_count(requests_.load(std::memory_order_acquire)),
           token_count(kv_tokens_.load(std::memory_order_acquire))};
 }
 
-backend_budget::usage backend_budget::Limits() const {
+backend_amount backend_budget::Limits() const {
   return {request_count(request_limit_.load(std::memory_order_acquire)),
           token_count(kv_limit_.load(std::memory_order_acquire))};
 }
--- a/src/daemon/admin_answers.cc
+++ b/src/daemon/admin_answers.cc
@@ -17,6 +17,14 @@
   std::uint32_t confirmed = 0;
 };
 
+nlohmann::json FindingsToJson(const std::vector<finding>& findings) {
+  nlohmann::json list = nlohmann::json::array();
+  for (const finding& item : findings) {
+    list.push_back({{"place", item.place}, {"message", item.message}});
+  }
+  return list;
+}
+
 }  // namespace
 
 admin_answer admin_answers::Status() const {
@@ -42,10 +50,7 @@
   nlohmann::json body = {{"note_id", note.str()},
                          {"state", verdict->accepted ? "accepted" : "rejected"},
                          {"revision", verdict->revision.get()}};
-  body["findings"] = nlohmann::json::array();
-  for (const finding& item : verdict->findings) {
-    body["findings"].push_back({{"place", item.place}, {"message", item.message}});
-  }
+  body["findings"] = FindingsToJson(verdict->findings);
   body["conflicts"] = nlohmann::json::array();
   for (const release_note_conflict& item : verdict->conflicts) {
     body["conflicts"].push_back({{"place", item.place},
@@ -62,6 +67,13 @@
   return {status, ToJsonText(body)};
 }
 
+admin_answer admin_answers::MalformedNote(const finding_list& findings) {
+  const nlohmann::json error = {{"code", "malformed_release_note"},
+                                {"message", "the release note has faults"}};
+  const nlohmann::json body = {{"error", error}, {"findings", FindingsToJson(findings.all())}};
+  return {400, ToJsonText(body)};
+}
+
 nlohmann::json admin_answers::Replicas() const {
   nlohmann::json replicas = nlohmann::json::array();
   for (const assembled_replica& replica : catalog_.replicas()) {
@@ -134,9 +146,8 @@
   }
   nlohmann::json in_force = nlohmann::json::array();
   for (const auto& [domain, count] : counts) {
-    in_force.push_back({{"failure_domain", domain.str()},
-                        {"nodes", count.nodes},
-                        {"confirmed", count.confirmed}});
+    in_force.push_back(
+        {{"failure_domain", domain.str()}, {"nodes", count.nodes}, {"confirmed", count.confirmed}});
   }
   return in_force;
 }
--- a/src/daemon/admin_answers.h
+++ b/src/daemon/admin_answers.h
@@ -18,6 +18,8 @@
   admin_answer Status() const;
   /// The verdict on a release note, and which nodes have it in force.
   admin_answer ReleaseNote(const note_id& note) const;
+  /// All faults of a release note that could not be read.
+  static admin_answer MalformedNote(const finding_list& findings);
   /// An error in the form of the caller interface.
   static admin_answer Error(std::uint32_t status, const std::string& code,
                             const std::string& message);
--- a/src/daemon/backend_catalog.cc
+++ b/src/daemon/backend_catalog.cc
@@ -101,8 +101,8 @@
     ready_for = std::min(ready_for, observed->second.ready_for);
     if (member == unit.vm) unit.incarnation = current;
   }
-  unit.joint_incarnation = incarnation(
-      StableHash(std::to_string(current.get()), unit.joint_incarnation.get()) >> 1U);
+  unit.joint_incarnation =
+      incarnation(StableHash(std::to_string(current.get()), unit.joint_incarnation.get()) >> 1U);
 }
 
 bool backend_catalog::IsDomainIn(const failure_domain_id& domain) const {
--- a/src/daemon/budget_table.cc
+++ b/src/daemon/budget_table.cc
@@ -11,8 +11,7 @@
     entry& item = entries_[unit.key];
     item.listed = true;
     item.static_share = ShareOf(unit, slot);
-    const backend_amount credits =
-        item.credits.Valid(unit.generation, unit.joint_incarnation, now);
+    const backend_amount credits = item.credits.Valid(unit.generation, unit.joint_incarnation, now);
     item.budget->SetLimits(item.static_share.requests + credits.requests,
                            item.static_share.kv_tokens + credits.kv_tokens);
   }
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -24,6 +24,7 @@
 constexpr milliseconds kCutOffLimit{5000};
 constexpr milliseconds kNoteTimeout{10000};
 constexpr milliseconds kNotePoll{10};
+constexpr milliseconds kAppendRetry{200};
 constexpr std::uint32_t kRecordsPerFetch = 64;
 /// Leaves room for the frame around the records.
 constexpr std::size_t kFetchBytes = 200 * 1024;
@@ -48,10 +49,8 @@
                }),
       log_(context_, [this] { return FetchFromPeer(); }),
       lease_(context_, log_),
-      membership_(context_,
-                  [this](const vm_id& vm, const peer_message& message) {
-                    network_.Send(vm, message);
-                  }),
+      membership_(context_, [this](const vm_id& vm,
+                                   const peer_message& message) { network_.Send(vm, message); }),
       groups_(context_, lease_),
       claims_(context_),
       catalog_(context_),
@@ -264,11 +263,10 @@
 }
 
 void control_loop::SubmitReleaseNote(std::string json, std::function<void(admin_answer)> done) {
-  boost::asio::post(context_.io,
-                    [this, json = std::move(json), done = std::move(done)]() mutable {
-                      boost::asio::co_spawn(context_.io, Publish(std::move(json), std::move(done)),
-                                            boost::asio::detached);
-                    });
+  boost::asio::post(context_.io, [this, json = std::move(json), done = std::move(done)]() mutable {
+    boost::asio::co_spawn(context_.io, Publish(std::move(json), std::move(done)),
+                          boost::asio::detached);
+  });
 }
 
 void control_loop::GetReleaseNote(note_id note, std::function<void(admin_answer)> done) {
@@ -283,13 +281,12 @@
 
 boost::asio::awaitable<void> control_loop::Publish(std::string json,
                                                    std::function<void(admin_answer)> done) {
-  finding_list findings;
-  const auto note = ParseReleaseNote(json, findings);
-  if (!note) {
-    done(admin_answers::Error(400, "malformed_release_note", findings.ToText()));
+  const release_note_reading reading = ParseReleaseNote(json);
+  if (!reading.note) {
+    done(admin_answers::MalformedNote(reading.findings));
     co_return;
   }
-  const note_id id = note->id;
+  const note_id id = reading.note->id;
   const append_id append("note-" + id.str());
   const time_point deadline = context_.clock.Now() + kNoteTimeout;
   append_answer answer;
@@ -298,7 +295,9 @@
       const release_note_record record{json};
       answer = co_await log_.Append(append, record);
     }
-    co_await SleepFor(kNotePoll);
+    const bool appended = answer.state == append_state::kAppended;
+    const milliseconds wait = appended ? kNotePoll : kAppendRetry;
+    co_await SleepFor(wait);
   }
   if (context_.state.FindVerdict(id) != nullptr) {
     done(admin_.ReleaseNote(id));
--- a/src/daemon/group_controller.cc
+++ b/src/daemon/group_controller.cc
@@ -65,9 +65,12 @@
   if (!in_term_ || term_ != lease_.Fencing()) BeginTerm(now);
   if (lease_.MayOrder(now) == order_permission::kNone || !HasSurveyed(now)) return;
 
-  const planner_input input{context_.state.objects(), context_.settings.failure_domain,
-                            context_.vms,             context_.reports,
-                            term_,                    outstanding_,
+  const planner_input input{context_.state.objects(),
+                            context_.settings.failure_domain,
+                            context_.vms,
+                            context_.reports,
+                            term_,
+                            outstanding_,
                             now};
   plan_result plan = planner_.Plan(input, std::move(state_));
   state_ = std::move(plan.state);
@@ -112,7 +115,8 @@
       std::move(order), context_.settings.failure_domain, kOrderTimeout);
   outstanding_.erase(target);
   context_.metrics
-      .Counter("waxwingwing_orders_total", {{"kind", ToText(kind)}, {"result", ToText(answer.state)}})
+      .Counter("waxwingwing_orders_total",
+               {{"kind", ToText(kind)}, {"result", ToText(answer.state)}})
       .Increment();
   if (answer.report) context_.reports.Observe(*answer.report, context_.clock.Now());
 }
--- a/src/daemon/log_controller.cc
+++ b/src/daemon/log_controller.cc
@@ -47,9 +47,8 @@
 
 std::vector<stream_record> log_controller::RecordsFrom(log_offset from, std::size_t limit) const {
   if (!Holds(from)) return {};
-  const auto first = std::find_if(recent_.begin(), recent_.end(), [&](const auto& record) {
-    return record.offset >= from;
-  });
+  const auto first = std::find_if(recent_.begin(), recent_.end(),
+                                  [&](const auto& record) { return record.offset >= from; });
   const auto left = static_cast<std::size_t>(std::distance(first, recent_.end()));
   return {first, first + static_cast<std::ptrdiff_t>(std::min(limit, left))};
 }
@@ -59,15 +58,15 @@
   return !recent_.empty() && recent_.front().offset <= from && from <= recent_.back().offset;
 }
 
-void log_controller::ApplyFromPeer(const std::vector<stream_record>& records) {
-  context_.control_contact_at = context_.clock.Now();
+void log_controller::ApplyFromPeer(const std::vector<stream_record>& records,
+                                   time_point fetched_at) {
+  context_.control_contact_at = fetched_at;
   if (ApplyAll(records) && on_change_) on_change_();
 }
 
 void log_controller::LoadPeerSnapshot(const std::string& text) {
   if (context_.state.LoadSnapshot(text) != snapshot_result::kLoaded) return;
   recent_.clear();
-  context_.control_contact_at = context_.clock.Now();
   context_.metrics.Counter("waxwingwing_snapshots_loaded_total", {{"source", "peer"}}).Increment();
   if (on_change_) on_change_();
 }
@@ -90,6 +89,7 @@
   range.from = context_.state.next_offset();
   range.limit = kRecordsPerRead;
   range.wait = kLongPoll;
+  const time_point sent_at = context_.clock.Now();
   const read_answer answer = co_await log_.Read(kControlStream, range);
   if (answer.state == read_state::kLapsed) {
     co_await LoadNewestSnapshot();
@@ -98,7 +98,8 @@
   }
   if (answer.state == read_state::kFailed) co_return false;
   context_.platform_contact_at = context_.clock.Now();
-  context_.control_contact_at = context_.clock.Now();
+  // A poll that was under way during a pause of the process proves nothing about the present.
+  context_.control_contact_at = sent_at;
   if (ApplyAll(answer.page.records) && on_change_) on_change_();
   co_return true;
 }
--- a/src/daemon/log_controller.h
+++ b/src/daemon/log_controller.h
@@ -11,8 +11,8 @@
 
 namespace waxwingwing {
 
-/// Keeps `control_context::state` at the end of the control stream: from the newest snapshot and the
-/// log, or from a peer while the log cannot be read. Also writes snapshots.
+/// Keeps `control_context::state` at the end of the control stream: from the newest snapshot and
+/// the log, or from a peer while the log cannot be read. Also writes snapshots.
 class log_controller {
  public:
   /// Sends a request for records from the own next offset to a peer that may have more; false when
@@ -33,7 +33,8 @@
   bool Holds(log_offset from) const;
 
   /// Applies records that a peer sent; those that are not the next ones are dropped.
-  void ApplyFromPeer(const std::vector<stream_record>& records);
+  /// `fetched_at` is when they were asked for.
+  void ApplyFromPeer(const std::vector<stream_record>& records, time_point fetched_at);
   /// Loads a peer's snapshot unless it is older than the own state.
   void LoadPeerSnapshot(const std::string& text);
 
--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -76,8 +76,8 @@
   report.incarnation = incarnation(fields.Number("incarnation"));
   report.sequence = fields.Number("uptime_ms", kMaxUptimeMs);
   report.uptime = milliseconds(static_cast<milliseconds::rep>(report.sequence));
-  report.ready_for = milliseconds(
-      static_cast<milliseconds::rep>(fields.OptionalNumber("ready_ms", kMaxUptimeMs)));
+  report.ready_for =
+      milliseconds(static_cast<milliseconds::rep>(fields.OptionalNumber("ready_ms", kMaxUptimeMs)));
   report.state = ParseState(fields);
   report.checks_fencing = fields.Has("checks_fencing") && fields.Flag("checks_fencing");
   report.fencing = fencing_number(fields.OptionalNumber("fencing_number"));
--- a/stand_ins/engine_load.h
+++ b/stand_ins/engine_load.h
@@ -34,7 +34,8 @@
   /// What the status shows at `now`, that is, what was held `report_lag` before.
   amounts Reported(time_point now);
 
-  /// Requests that the engine bears this long after it was cold; rises linearly over the warm-up time.
+  /// Requests that the engine bears this long after it was cold; rises linearly over the warm-up
+  /// time.
   std::uint64_t RequestLimit(milliseconds ready_for) const;
   std::uint64_t kv_limit() const { return bears_.kv_tokens; }
 
