control, lease, idempotency: pass clang-tidy

Cause: a move of a trivially copyable generator, a vector filled without reserving, and adjacent string literals in initializer lists.

Change: copy the generator, reserve, and name the literals. The malformed lease record of the control test now has a duration, so that its negative incarnation alone makes it malformed.

Ruled out: exceptions for these checks.

--- a/src/lease/lease_controller_state.cc
+++ b/src/lease/lease_controller_state.cc
@@ -14,7 +14,7 @@
 
 lease_controller_state::lease_controller_state(lease_participant self, lease_timing timing,
                                                random_source ids)
-    : self_(std::move(self)), timing_(timing), ids_(std::move(ids)) {}
+    : self_(std::move(self)), timing_(timing), ids_(ids) {}
 
 void lease_controller_state::Observe(const domain_lease* latest, time_point now) {
   std::optional<domain_lease> seen;
--- a/tests/unit/control_test.cc
+++ b/tests/unit/control_test.cc
@@ -63,13 +63,18 @@
 }
 
 TEST_CASE("malformed records are skipped and counted", "[control]") {
+  const std::string unknown_slot =
+      R"({"kind":"roster","failure_domain":"d","slot":5000,"action":"claim","vm":"v",)"
+      R"("incarnation":1,"peer_address":"p"})";
+  const std::string negative_incarnation =
+      R"({"kind":"lease","failure_domain":"d","vm":"v","incarnation":-1,"released":false,)"
+      R"("duration_ms":6000})";
   control_log log;
-  for (const char* payload :
-       {"", "[]", "{}", R"({"kind":7})", R"({"kind":"other"})", R"({"kind":"lease"})",
-        R"({"kind":"release_note"})", "\xff",
-        R"({"kind":"lease","failure_domain":"d","vm":"v","incarnation":-1,"released":false})",
-        R"({"kind":"roster","failure_domain":"d","slot":5000,"action":"claim","vm":"v",)"
-        R"("incarnation":1,"peer_address":"p"})"}) {
+  for (const std::string& payload :
+       {std::string(), std::string("[]"), std::string("{}"), std::string(R"({"kind":7})"),
+        std::string(R"({"kind":"other"})"), std::string(R"({"kind":"lease"})"),
+        std::string(R"({"kind":"release_note"})"), std::string("\xff"), negative_incarnation,
+        unknown_slot}) {
     CHECK(log.Append(std::to_string(log.state.next_offset().get()), payload) ==
           apply_result::kMalformed);
   }
--- a/tests/unit/idempotency_test.cc
+++ b/tests/unit/idempotency_test.cc
@@ -209,13 +209,14 @@
 }
 
 TEST_CASE("malformed claims records are skipped", "[idempotency]") {
+  const char* const body_of_no_bytes =
+      R"({"based_on":0,"entries":[{"kind":"outcome","claim":"c","status":200,)"
+      R"("content_type":"","body":"\u0100"}]})";
   claims_log log;
   for (const char* payload :
        {"", "[]", R"({"based_on":0})", R"({"based_on":99,"entries":[]})",
         R"({"based_on":0,"entries":[{"kind":"x"}]})", R"({"based_on":0,"entries":[7]})",
-        R"({"based_on":0,"entries":[{"kind":"claim","claim":"c"}]})",
-        R"({"based_on":0,"entries":[{"kind":"outcome","claim":"c","status":200,)"
-        R"("content_type":"","body":"\u0100"}]})"}) {
+        R"({"based_on":0,"entries":[{"kind":"claim","claim":"c"}]})", body_of_no_bytes}) {
     const log_offset offset = log.index.next_offset();
     const append_id id(std::to_string(offset.get()));
     CHECK(log.index.Apply(offset, id, payload, kStart).result == claims_apply_result::kMalformed);
--- a/tests/unit/lease_test.cc
+++ b/tests/unit/lease_test.cc
@@ -1,5 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
+#include <vector>
 
 #include "waxwingwing/control/control_state.h"
 #include "waxwingwing/lease/lease_controller_state.h"
@@ -139,6 +141,7 @@
 TEST_CASE("candidates claim one after the other", "[lease]") {
   const std::vector<vm_id> live{vm_id("a"), vm_id("b"), vm_id("c")};
   std::vector<std::uint32_t> ranks;
+  ranks.reserve(live.size());
   for (const vm_id& vm : live) ranks.push_back(ClaimRank(kIfo, vm, live));
   std::sort(ranks.begin(), ranks.end());
   REQUIRE(ranks == std::vector<std::uint32_t>{0, 1, 2});
