groups: keep the configured spares per fabric domain and compare less

Cause: packing filled fabric domains to all but one VM, so that every second failure there found no spare; and each round compared member lists several times. Change: a new replica goes to a fabric domain that keeps the group's spares while there is one; reported and planned member lists are compared once a round and generation.

--- a/src/groups/order_writer.cc
+++ b/src/groups/order_writer.cc
@@ -63,9 +63,8 @@
       if (view == nullptr || view->owner != id) continue;
       const backend_assignment* held = view->Assignment();
       if (held == nullptr || held->replica != id || held->generation < replica.generation) continue;
-      const bool same = held->generation == replica.generation && held->rank == rank &&
-                        held->members == replica.members;
-      outbid = outbid || !same;
+      outbid = outbid || held->generation > replica.generation ||
+               pool_.ConditionOf(replica, rank) == member_condition::kWaiting;
     }
     if (outbid) replica.generation = editor.NewGeneration();
   }
--- a/src/groups/planning_round.cc
+++ b/src/groups/planning_round.cc
@@ -322,10 +322,11 @@
 std::optional<fabric_domain_id> planning_round::ChooseFabric(
     const model_group_config& group) const {
   const std::vector<fabric_room> rooms = pool_.Rooms();
-  if (group.spares > 0) {
-    // A fabric domain that is filled to the last VM cannot repair the replica.
-    auto with_spare = packing_.Choose(rooms, group.vms_per_replica + 1);
-    if (with_spare) return with_spare;
+  // A fabric domain that is filled to the last VM cannot repair the replica, so one that keeps the
+  // configured spares is chosen while there is one.
+  for (std::size_t spares = group.spares; spares > 0; --spares) {
+    auto with_spares = packing_.Choose(rooms, group.vms_per_replica + spares);
+    if (with_spares) return with_spares;
   }
   return packing_.Choose(rooms, group.vms_per_replica);
 }
--- a/src/groups/vm_pool.cc
+++ b/src/groups/vm_pool.cc
@@ -125,18 +125,20 @@
   if (!view->fresh) return member_condition::kUnknown;
   const backend_assignment* held = view->Assignment();
   const bool confirmed = held != nullptr && held->replica == replica.id &&
-                         held->generation == replica.generation && held->rank == rank &&
-                         held->members == replica.members;
-  if (!confirmed) return member_condition::kWaiting;
+                         held->generation == replica.generation && held->rank == rank;
+  if (!confirmed || !HasMembersOf(*view, replica)) return member_condition::kWaiting;
   return view->report->state == backend_state::kReady ? member_condition::kReady
                                                       : member_condition::kLoading;
 }
 
-bool vm_pool::IsWhole(const planned_replica& replica) const {
-  for (std::uint32_t rank = 0; rank < replica.members.size(); ++rank) {
-    if (ConditionOf(replica, rank) != member_condition::kReady) return false;
+bool vm_pool::HasMembersOf(const vm_view& view, const planned_replica& replica) {
+  // The plan gives every change of a member list a new generation, so that one comparison for each
+  // generation is enough in a round.
+  if (view.compared_generation != replica.generation) {
+    view.compared_generation = replica.generation;
+    view.same_members = view.Assignment()->members == replica.members;
   }
-  return !replica.members.empty();
+  return view.same_members;
 }
 
 fabric_domain_id vm_pool::FabricOf(const planned_replica& replica) const {
--- a/src/groups/vm_pool.h
+++ b/src/groups/vm_pool.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -23,6 +24,9 @@
   /// The replica in the plan that the VM belongs to; empty when there is none.
   replica_id owner;
   vm_memory* memory = nullptr;
+  /// Result of the last comparison of the reported members with the planned ones.
+  mutable std::optional<generation> compared_generation;
+  mutable bool same_members = false;
 
   const backend_assignment* Assignment() const {
     return report != nullptr && report->assignment ? &*report->assignment : nullptr;
@@ -66,13 +70,12 @@
              std::uint32_t rank);
 
   member_condition ConditionOf(const planned_replica& replica, std::uint32_t rank) const;
-  /// Every member is ready in the planned generation.
-  bool IsWhole(const planned_replica& replica) const;
   /// Fabric domain of the members; empty when no member is listed.
   fabric_domain_id FabricOf(const planned_replica& replica) const;
 
  private:
   void AddView(const planner_input& input, const vm_entry& entry, planner_state& state);
+  static bool HasMembersOf(const vm_view& view, const planned_replica& replica);
   void ExpireFewSilent();
   std::uint64_t Preference(const vm_view& view, const std::string& model, std::uint32_t rank) const;
 
