bench: replay a month of failures against the planner

Cause: the planner's policies need a measure of group downtime and stranded accelerators. Orders take no time in the model, polls are in step with failures, and stragglers and lost orders are not modelled.

--- /dev/null
+++ b/bench/failure_trace.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "waxwingwing/core/units.h"
+
+namespace waxwingwing {
+
+/// Size of the simulated failure domain.
+struct fleet_shape {
+  std::size_t fabrics = 12;
+  std::size_t vms_per_fabric = 43;
+
+  std::size_t vms() const { return fabrics * vms_per_fabric; }
+};
+
+enum class failure_kind {
+  /// The VM dies without notice; another one takes its place later.
+  kLoss,
+  /// The engine process restarts and has lost its weights.
+  kRestart,
+  /// The VM list announces that the VM leaves; another one takes its place after it.
+  kReplacement,
+  /// All VMs of a fabric domain are unreachable for a time and then return as they were.
+  kFabricOutage,
+};
+
+struct failure_event {
+  milliseconds at{0};
+  failure_kind kind = failure_kind::kLoss;
+  /// Slot number of the VM, or number of the fabric domain.
+  std::size_t place = 0;
+  /// Time until the VM, its process or the fabric domain is back.
+  milliseconds lasts{0};
+  /// Time that running requests need after the replica takes no new ones.
+  milliseconds drain{0};
+};
+
+/// Failures of one domain over `length`, by time, at the rates of the requirements page per VM: of
+/// 3,490 VMs 39 are lost and 1,200 restarted or replaced in equal parts each day. The rate of
+/// fabric outages of the whole fleet, one in 45 days, is applied to this one domain.
+std::vector<failure_event> MakeFailureTrace(const fleet_shape& shape, milliseconds length,
+                                            std::uint64_t seed);
+
+}  // namespace waxwingwing
