bench: compare replica selection strategies

Cause: the selection strategies need a comparison under lagging load reports and unknown prompt beginnings. Change: bench_routing runs a discrete-event model of three entry VMs and eight replicas with bounded prompt caches.

--- /dev/null
+++ b/bench/routing_model.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <memory>
+#include <queue>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "waxwingwing/core/random_source.h"
+#include "waxwingwing/routing/replica_selector.h"
+
+namespace waxwingwing {
+
+struct routing_options {
+  std::string strategy;
+  std::uint64_t seed = 1;
+  std::size_t requests = 20000;
+  std::size_t entry_vms = 3;
+  std::size_t replicas = 8;
+  /// Requests that a replica runs at a time; more wait in the replica.
+  std::uint32_t slots = 16;
+  /// Prompt beginnings that a replica's cache holds.
+  std::size_t cache_entries = 40;
+  /// Distinct prompt beginnings; their popularity falls with the rank (Zipf).
+  std::size_t prefixes = 200;
+  double requests_per_second = 40;
+  /// Age of the load reports.
+  milliseconds report_lag{0};
+  /// Fraction of requests whose prompt beginning is not known to the entry VM, as when cache
+  /// information is late or missing.
+  double unknown_prefixes = 0;
+};
+
+struct routing_result {
+  double p50_ms = 0;
+  double p95_ms = 0;
+  double hit_rate = 0;
+};
+
+/// Discrete-event model of entry VMs that send requests to replicas with bounded prompt caches.
+///
+/// The first token takes the wait for a slot plus the prefill, which a cache hit shortens. The time
+/// per token grows with the running requests, as in continuous batching. One replica is slower than
+/// the others by half. Every entry VM has a selector and in-flight counts of its own.
+class routing_model {
+ public:
+  explicit routing_model(const routing_options& options);
+
+  routing_result Run();
+
+ private:
+  struct request {
+    std::size_t entry_vm = 0;
+    std::uint64_t prefix = 0;
+    double arrived_ms = 0;
+    double tokens = 0;
+  };
+
+  struct replica_state {
+    double slowness = 1;
+    std::uint32_t running = 0;
+    std::deque<request> waiting;
+    /// Most recently used first.
+    std::list<std::uint64_t> recent;
+    std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> cached;
+    /// Running and waiting requests over time, for the lagging reports.
+    std::deque<std::pair<double, std::uint32_t>> history;
+  };
+
+  struct completion {
+    double at_ms = 0;
+    std::size_t replica = 0;
+    std::size_t entry_vm = 0;
+
+    bool operator>(const completion& other) const { return at_ms > other.at_ms; }
+  };
+
+  void Arrive();
+  void Complete(const completion& done);
+  void Start(std::size_t replica, const request& item);
+  bool LookUp(replica_state& replica, std::uint64_t prefix) const;
+  void NoteLoad(replica_state& replica);
+  std::uint32_t ReportedLoad(replica_state& replica) const;
+  std::uint64_t DrawPrefix();
+  time_point Now() const;
+
+  const routing_options options_;
+  random_source random_;
+  std::vector<double> popularity_;
+  std::vector<replica_state> replicas_;
+  std::vector<std::unique_ptr<replica_selector>> selectors_;
+  /// Candidates as each entry VM sees them.
+  std::vector<std::vector<backend_view>> views_;
+  std::priority_queue<completion, std::vector<completion>, std::greater<>> completions_;
+  double now_ms_ = 0;
+  std::vector<double> first_token_ms_;
+  std::size_t hits_ = 0;
+};
+
+}  // namespace waxwingwing
