peer: follow the linter's naming and parameter rules

Cause: clang-tidy reported names and copies. Change: names, a widening conversion and constant reference parameters. Ruled out: nothing.

--- a/include/waxwingwing/peer/frame_codec.h
+++ b/include/waxwingwing/peer/frame_codec.h
@@ -18,7 +18,7 @@
 constexpr std::size_t kFrameLengthBytes = 4;
 constexpr std::size_t kFrameHeadBytes = 2;
 /// Most bytes after the length.
-constexpr std::size_t kMaxFrameBytes = 256 * 1024;
+constexpr std::size_t kMaxFrameBytes = std::size_t{256} * 1024;
 constexpr std::uint8_t kFrameVersion = 1;
 
 enum class frame_error { kNone, kOversized, kUnknownVersion, kUnknownType, kMalformed };
--- a/include/waxwingwing/peer/msgpack_types.h
+++ b/include/waxwingwing/peer/msgpack_types.h
@@ -68,8 +68,8 @@
     template <typename stream>
     msgpack::packer<stream>& operator()(msgpack::packer<stream>& to,
                                         const waxwingwing::milliseconds& from) const {
-      constexpr auto kMost = waxwingwing::milliseconds(std::numeric_limits<std::uint32_t>::max());
-      const auto bounded = std::clamp(from, waxwingwing::milliseconds(0), kMost);
+      const auto most = waxwingwing::milliseconds(std::numeric_limits<std::uint32_t>::max());
+      const auto bounded = std::clamp(from, waxwingwing::milliseconds(0), most);
       return to.pack(static_cast<std::uint32_t>(bounded.count()));
     }
   };
--- a/include/waxwingwing/peer/peer_network.h
+++ b/include/waxwingwing/peer/peer_network.h
@@ -52,8 +52,8 @@
   /// Called for each message but hello; may call any member.
   using message_handler = std::function<void(const vm_id&, peer_message)>;
 
-  peer_network(boost::asio::io_context& context, peer_settings settings, random_source random,
-               metrics_registry& metrics, message_handler on_message);
+  peer_network(boost::asio::io_context& context, const peer_settings& settings,
+               random_source random, metrics_registry& metrics, message_handler on_message);
   ~peer_network();
   peer_network(const peer_network&) = delete;
   peer_network& operator=(const peer_network&) = delete;
--- a/src/peer/peer_network.cc
+++ b/src/peer/peer_network.cc
@@ -20,10 +20,10 @@
 
 class peer_network::implementation : public std::enable_shared_from_this<implementation> {
  public:
-  implementation(boost::asio::io_context& context, peer_settings settings, random_source random,
-                 metrics_registry& metrics, message_handler on_message)
+  implementation(boost::asio::io_context& context, const peer_settings& settings,
+                 random_source random, metrics_registry& metrics, message_handler on_message)
       : context_(context),
-        random_(std::move(random)),
+        random_(random),
         on_message_(std::move(on_message)),
         shared_(std::make_shared<peer_session::shared_state>(
             peer_session::shared_state{settings, HelloOf(settings), peer_counters(metrics)})) {}
@@ -91,11 +91,11 @@
   bool closed_ = false;
 };
 
-peer_network::peer_network(boost::asio::io_context& context, peer_settings settings,
+peer_network::peer_network(boost::asio::io_context& context, const peer_settings& settings,
                            random_source random, metrics_registry& metrics,
                            message_handler on_message)
-    : implementation_(std::make_shared<implementation>(
-          context, std::move(settings), std::move(random), metrics, std::move(on_message))) {
+    : implementation_(std::make_shared<implementation>(context, settings, random, metrics,
+                                                       std::move(on_message))) {
   implementation_->Start();
 }
 
--- a/src/platform/ip_endpoint.cc
+++ b/src/platform/ip_endpoint.cc
@@ -9,9 +9,9 @@
 using endpoint = boost::asio::ip::tcp::endpoint;
 
 result<endpoint> Fail(std::string_view text) {
-  constexpr std::size_t kPrintedLength = 64;
+  const std::size_t printed_length = 64;
   return result<endpoint>::Failure("not an address of the form ip:port: '" +
-                                   std::string(text.substr(0, kPrintedLength)) + "'");
+                                   std::string(text.substr(0, printed_length)) + "'");
 }
 
 bool ParsePort(std::string_view text, std::uint16_t& port) {
--- a/src/platform/json_fields.cc
+++ b/src/platform/json_fields.cc
@@ -30,13 +30,13 @@
 }
 
 const json& EmptyArray() {
-  static const json array = json::array();
-  return array;
+  static const json kEmpty = json::array();
+  return kEmpty;
 }
 
 const json& Null() {
-  static const json null;
-  return null;
+  static const json kNull;
+  return kNull;
 }
 
 }  // namespace
