cli: add the operators' subcommands

Cause: operators publish release notes and take failure domains out of service from a command line. Change: apply, status, drain and restore over the administrative endpoints, entry VMs tried in order, exit codes by outcome. drain and restore use the domain's own revision as base, so that only a later change of that domain is a conflict, and wait until every entry VM has confirmed. Ruled out: control_offset as base, since it is the offset of the next record and a note based on it is refused as newer than the configuration; gflags' own parser, which ends the process on a fault.

--- /dev/null
+++ b/src/cli/admin_client.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <ostream>
+#include <string>
+#include <vector>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/platform/http_client.h"
+
+namespace waxwingwing {
+
+/// A status and a JSON object that an entry VM answered.
+struct admin_reply {
+  std::uint32_t status = 0;
+  nlohmann::json body;
+};
+
+/// Blocking client of the administrative endpoints. Tries the entry VMs in order until one answers
+/// with a JSON object and no server error.
+class admin_client {
+ public:
+  /// Faults of single entry VMs are printed to `err`, which must outlive the client.
+  admin_client(std::vector<std::string> addresses, time_point deadline, std::ostream& err);
+  admin_client(const admin_client&) = delete;
+  admin_client& operator=(const admin_client&) = delete;
+
+  /// The first usable answer, else the last server error, else nothing.
+  std::optional<admin_reply> Ask(const std::string& method, const std::string& target,
+                                 const std::string& body = {});
+  bool TimeIsUp() const;
+  /// Waits between two polls.
+  void Pause() const;
+
+ private:
+  std::optional<admin_reply> AskOne(const std::string& address, const std::string& method,
+                                    const std::string& target, const std::string& body);
+  void PrintFault(const std::string& fault);
+
+  boost::asio::io_context context_;
+  // Declared after the context, which its idle connections use when they are closed.
+  http_client http_;
+  std::vector<std::string> addresses_;
+  time_point deadline_;
+  std::ostream& err_;
+  /// Not printed again while polling repeats it.
+  std::string last_fault_;
+};
+
+}  // namespace waxwingwing
