tests: fix the event stream reader and test the harness

The reader returned only at the end of an answer, because an eager Beast parser asks for more bytes until the message is complete. Reads now return after each part.

Ruled out: shorter time-outs in the test, which would hide the cause.

--- a/tests/integration/child_process.cc
+++ b/tests/integration/child_process.cc
@@ -37,6 +37,7 @@
   ::posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, output.c_str(), flags, 0600);
   ::posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log.c_str(), flags, 0600);
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& part : command) arguments.push_back(const_cast<char*>(part.c_str()));
   arguments.push_back(nullptr);
   pid_t pid = -1;
--- a/tests/integration/deployment.cc
+++ b/tests/integration/deployment.cc
@@ -1,5 +1,6 @@
 #include "tests/integration/deployment.h"
 
+#include <algorithm>
 #include <stdexcept>
 #include <utility>
 
--- a/tests/integration/event_stream.cc
+++ b/tests/integration/event_stream.cc
@@ -9,7 +9,8 @@
 event_stream::event_stream(const std::string& address, const std::string& path,
                            const header_list& headers, const nlohmann::json& body, settings options)
     : settings_(options) {
-  parser_.eager(true);
+  // An eager parser returns from a read only at the end of the answer.
+  parser_.eager(false);
   parser_.body_limit(std::numeric_limits<std::uint64_t>::max());
   const time_point deadline = std::chrono::steady_clock::now() + settings_.timeout;
   boost::system::error_code error =
--- a/tests/integration/stand_ins_test.cc
+++ b/tests/integration/stand_ins_test.cc
@@ -6,6 +6,7 @@
 
 #include "stand_ins/answer_tokens.h"
 #include "tests/integration/event_stream.h"
+#include "tests/integration/http_connection.h"
 #include "tests/integration/platform_processes.h"
 #include "tests/integration/wait_for.h"
 
@@ -85,14 +86,28 @@
   REQUIRE(client.Get(kControl + "?from=3").Json().at("records").size() == 2);
 }
 
-TEST_CASE("the log wakes a waiting reader in an outage", "[stand_ins]") {
-  // A reader that kept waiting would hide the outage from the tests.
+TEST_CASE("the log wakes waiting readers for a record and for an outage", "[stand_ins]") {
+  // A reader that kept waiting would hide an outage from the tests.
   platform_processes processes;
   const auto log = processes.StartStandIn("log", "log");
-  event_stream reader(log->Address(), kControl, {}, {{"append_id", "a1"}, {"payload", 1}});
-  REQUIRE(reader.ReadAll().raw.status == 200);
+  const std::string address = log->Address();
+  const time_point deadline = steady_clock::now() + kBound;
+  http_connection record_reader;
+  http_connection outage_reader;
+  REQUIRE_FALSE(record_reader.Connect(address, deadline));
+  REQUIRE_FALSE(outage_reader.Connect(address, deadline));
+  const http_call wait_for_first = {"GET", kControl + "?from=0&wait_ms=60000", {}, ""};
+  const http_call wait_for_second = {"GET", kControl + "?from=1&wait_ms=60000", {}, ""};
+  REQUIRE_FALSE(record_reader.Write(address, wait_for_first, deadline));
+  REQUIRE_FALSE(outage_reader.Write(address, wait_for_second, deadline));
+  http_client(address).Post(kControl, {{"append_id", "a1"}, {"payload", 1}});
+  http_connection::parser record;
+  REQUIRE_FALSE(record_reader.Read(record, deadline));
+  REQUIRE(http_connection::ToAnswer(record).Json().at("records").size() == 1);
   SetFaults(*log, {{"outage", true}});
-  REQUIRE(http_client(log->Address()).Get(kControl + "?from=1&wait_ms=60000").status == 503);
+  http_connection::parser outage;
+  REQUIRE_FALSE(outage_reader.Read(outage, deadline));
+  REQUIRE(http_connection::ToAnswer(outage).status == 503);
 }
 
 TEST_CASE("an engine that checks fencing numbers refuses an old one", "[stand_ins]") {
@@ -180,7 +195,7 @@
   REQUIRE(IsReady(first_client));
 }
 
-TEST_CASE("the proxy freezes one direction and silences open connections", "[stand_ins]") {
+TEST_CASE("the proxy freezes a direction, loses an answer and refuses", "[stand_ins]") {
   platform_processes processes;
   const auto service = processes.StartStandIn("plain_service", "service");
   const auto proxy = processes.StartStandIn("proxy", "proxy", {"--target=" + service->Address()});
@@ -189,7 +204,7 @@
   REQUIRE(patient.Post("/v1/call", "a").status == 200);
   SetFaults(*proxy, {{"freeze_from_target", true}});
   REQUIRE_FALSE(impatient.Send({"POST", "/v1/call", {}, "b"}));
-  REQUIRE(GetRecords(*service).at("calls").size() == 2);
+  REQUIRE(WaitFor([&] { return GetRecords(*service).at("calls").size() == 2; }, kBound));
   SetFaults(*proxy, {{"freeze_from_target", false}, {"freeze_to_target", true}});
   REQUIRE_FALSE(impatient.Send({"POST", "/v1/call", {}, "c"}));
   REQUIRE(GetRecords(*service).at("calls").size() == 2);
@@ -201,5 +216,21 @@
   REQUIRE(patient.Post("/v1/call", "f").status == 200);
 }
 
+TEST_CASE("the proxy silences open connections for good", "[stand_ins]") {
+  // Guards the tests of connections that go silent while new ones work.
+  platform_processes processes;
+  const auto engine = processes.StartStandIn("engine", "engine");
+  const auto proxy = processes.StartStandIn("proxy", "proxy", {"--target=" + engine->Address()});
+  http_client(proxy->Address()).Post("/v1/orders", Assignment(1, 1));
+  event_stream::settings settings;
+  settings.timeout = milliseconds(500);
+  event_stream silenced(proxy->Address(), kChat, ChatHeaders("t1"), ChatBody(1000), settings);
+  REQUIRE(silenced.ReadTokens(1));
+  SetFaults(*proxy, {{"silence_open", true}});
+  REQUIRE_FALSE(silenced.ReadTokens(1000));
+  event_stream next(proxy->Address(), kChat, ChatHeaders("t2"), ChatBody(4));
+  REQUIRE(next.ReadAll().done);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
--- a/tests/integration/vm_view.cc
+++ b/tests/integration/vm_view.cc
@@ -23,9 +23,8 @@
   if (current.target != target) {
     const std::string count = std::to_string(proxies_.size() + replaced_.size());
     if (current.process != nullptr) replaced_.push_back(std::move(current));
-    current.target = target;
-    current.process = processes_.StartStandIn("proxy", name_ + "-proxy-" + count + "-" + vm,
-                                              {"--target=" + target});
+    current = {target, processes_.StartStandIn("proxy", name_ + "-proxy-" + count + "-" + vm,
+                                               {"--target=" + target})};
   }
   return current.process->Address();
 }
