tests: wait for the delivered call before dropping the next answer

Under the address sanitizer the proxy test failed once: a lifted freeze delivers the held bytes, and the answer to that earlier call took the count of drop_answers that was meant for the next one.

The test now waits until the earlier connections ended; the proxy's comment states that a lifted freeze delivers also what the caller gave up.

Ruled out: dropping held bytes when a freeze is lifted, since a network path that returns delivers them too.

--- a/stand_ins/proxy.h
+++ b/stand_ins/proxy.h
@@ -13,9 +13,9 @@
 ///
 /// Faults: `delay_ms` (in each direction), `cut` (bool: closes all connections and refuses new
 /// ones), `freeze_to_target` and `freeze_from_target` (bool: accepts bytes and forwards none,
-/// without closing; forwards them when set back), `silence_open` (true: the connections that are
-/// open now forward nothing any more, new ones work) and `drop_answers` (count: closes the
-/// connection when the first byte of an answer arrives).
+/// without closing; forwards them when set back, even if the caller gave up meanwhile),
+/// `silence_open` (true: the connections that are open now forward nothing any more, new ones work)
+/// and `drop_answers` (count: closes the connection when the first byte of an answer arrives).
 class proxy final : public stand_in {
  public:
   explicit proxy(asio::io_context& context);
--- a/tests/integration/stand_ins_test.cc
+++ b/tests/integration/stand_ins_test.cc
@@ -1,4 +1,5 @@
 // Tests of the stand-ins themselves: what the other tests conclude depends on them.
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -208,7 +209,20 @@
   SetFaults(*proxy, {{"freeze_from_target", false}, {"freeze_to_target", true}});
   REQUIRE_FALSE(impatient.Send({"POST", "/v1/call", {}, "c"}));
   REQUIRE(GetRecords(*service).at("calls").size() == 2);
-  SetFaults(*proxy, {{"freeze_to_target", false}, {"drop_answers", 1}});
+  // The lifted freeze delivers the call; its answer must not be the one that is dropped.
+  SetFaults(*proxy, {{"freeze_to_target", false}});
+  const auto third_call_ended = [&] {
+    const json calls = GetRecords(*service).at("calls");
+    return calls.size() == 3 && calls.at(2).contains("ended_at_us");
+  };
+  REQUIRE(WaitFor(third_call_ended, kBound));
+  const auto all_connections_ended = [&] {
+    const json connections = GetRecords(*proxy).at("connections");
+    return std::all_of(connections.begin(), connections.end(),
+                       [](const json& connection) { return connection.contains("ended_at_us"); });
+  };
+  REQUIRE(WaitFor(all_connections_ended, kBound));
+  SetFaults(*proxy, {{"drop_answers", 1}});
   REQUIRE_FALSE(patient.Send({"POST", "/v1/call", {}, "d"}));
   SetFaults(*proxy, {{"cut", true}});
   REQUIRE_FALSE(patient.Send({"POST", "/v1/call", {}, "e"}));
