--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -80,10 +80,13 @@
   std::vector<backend_report_message> backends;
   /// Whether the receiver is to pass the message on within its failure domain.
   bool forward = false;
+  /// From the lease holder of a domain: replicas that get no new requests since they will be
+  /// released.
+  std::vector<replica_id> draining_replicas;
 
   bool operator==(const node_status_message&) const = default;
   MSGPACK_DEFINE(vm, incarnation, failure_domain, sequence, control_offset, draining,
-                 caller_address, backends, forward)
+                 caller_address, backends, forward, draining_replicas)
 };
 
 struct log_fetch_message {
@@ -108,18 +111,25 @@
   MSGPACK_DEFINE(offset, append_id, payload)
 };
 
+/// Bounds the memory that a snapshot in parts takes at the receiver.
+inline constexpr std::uint32_t kMaxSnapshotParts = 256;
+
 /// Reply to `log_fetch_message`. Records ascend from `first_offset`.
 struct log_records_message {
   std::uint64_t request = 0;
   std::string stream;
   log_offset first_offset;
   std::vector<log_record_message> records;
+  /// A snapshot, or the part of it with the index `snapshot_part` of `snapshot_parts`.
   std::optional<std::string> snapshot;
   /// Offset up to which the sender has applied the stream.
   log_offset sender_offset;
+  std::uint32_t snapshot_part = 0;
+  std::uint32_t snapshot_parts = 1;
 
   bool operator==(const log_records_message&) const = default;
-  MSGPACK_DEFINE(request, stream, first_offset, records, snapshot, sender_offset)
+  MSGPACK_DEFINE(request, stream, first_offset, records, snapshot, sender_offset, snapshot_part,
+                 snapshot_parts)
 };
 
 struct credit_wish_message {
--- a/src/daemon/backend_catalog.cc
+++ b/src/daemon/backend_catalog.cc
@@ -48,9 +48,7 @@
   unit.reported = {leader->running, leader->kv_tokens_used};
   unit.ms_per_token = leader->ms_per_token;
   unit.reported_at = leader->taken_at;
-  const bool draining =
-      std::find(draining_.begin(), draining_.end(), replica.replica) != draining_.end();
-  unit.routable = replica.serving() && !draining;
+  unit.routable = replica.serving() && !IsDraining(replica);
   milliseconds ready_for = group->second.value.warm_up;
   for (const vm_id& member : replica.members) ReadMember(member, unit, ready_for);
   unit.limit = LimitAt(group->second.value, ready_for);
@@ -105,6 +103,13 @@
       incarnation(StableHash(std::to_string(current.get()), unit.joint_incarnation.get()) >> 1U);
 }
 
+bool backend_catalog::IsDraining(const assembled_replica& replica) const {
+  const auto domain = context_.draining_replicas.find(replica.failure_domain);
+  if (domain == context_.draining_replicas.end()) return false;
+  const auto& ids = domain->second;
+  return std::find(ids.begin(), ids.end(), replica.replica) != ids.end();
+}
+
 bool backend_catalog::IsDomainIn(const failure_domain_id& domain) const {
   const auto& domains = context_.state.objects().failure_domains;
   const auto found = domains.find(domain);
--- a/src/daemon/backend_catalog.h
+++ b/src/daemon/backend_catalog.h
@@ -39,8 +39,6 @@
  public:
   explicit backend_catalog(control_context& context) : context_(context) {}
 
-  /// Replicas that get no new requests since they will be released.
-  void SetDraining(std::vector<replica_id> draining) { draining_ = std::move(draining); }
   /// An answer to a request carried an incarnation that no report has shown yet.
   void NoteIncarnation(const vm_id& vm, incarnation seen, milliseconds ready_for);
 
@@ -62,10 +60,10 @@
   void AddService(const vm_entry& vm, time_point now);
   /// Applies what answers showed to a member's report.
   void ReadMember(const vm_id& member, backend_unit& unit, milliseconds& ready_for) const;
+  bool IsDraining(const assembled_replica& replica) const;
   bool IsDomainIn(const failure_domain_id& domain) const;
 
   control_context& context_;
-  std::vector<replica_id> draining_;
   std::vector<assembled_replica> replicas_;
   std::vector<backend_unit> units_;
   std::map<vm_id, observed_start> observed_starts_;
--- a/src/daemon/control_context.h
+++ b/src/daemon/control_context.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <string>
+#include <map>
 #include <vector>
 
 #include "waxwingwing/control/control_state.h"
@@ -47,6 +47,8 @@
   /// When records of the control stream last arrived or were confirmed to be complete.
   time_point control_contact_at{};
   bool draining = false;
+  /// Replicas of each domain that its lease holder will release; they get no new requests.
+  std::map<failure_domain_id, std::vector<replica_id>> draining_replicas;
 };
 
 }  // namespace waxwingwing
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -126,7 +126,6 @@
   const time_point now = context_.clock.Now();
   if (now > last_tick_ + kPauseLimit) NotePause(now);
   last_tick_ = now;
-  catalog_.SetDraining(groups_.draining());
   catalog_.Refresh(now);
   budgets_.Refresh(catalog_, roster_->OwnSlot(), now);
   publisher_.Publish(IsSuspended(now), now);
@@ -174,7 +173,8 @@
   reply.sender_offset = context_.state.next_offset();
   reply.first_offset = fetch.from;
   if (!log_.Holds(fetch.from) && fetch.from < context_.state.next_offset()) {
-    reply.snapshot = context_.state.ToSnapshot();
+    SendSnapshot(sender, std::move(reply));
+    return;
   }
   std::size_t bytes = 0;
   for (const stream_record& record : log_.RecordsFrom(fetch.from, fetch.limit)) {
@@ -185,14 +185,34 @@
   network_.Send(sender, reply);
 }
 
+void control_loop::SendSnapshot(const vm_id& receiver, log_records_message reply) {
+  const std::string text = context_.state.ToSnapshot();
+  reply.snapshot_parts = static_cast<std::uint32_t>((text.size() + kFetchBytes - 1) / kFetchBytes);
+  for (std::uint32_t part = 0; part < reply.snapshot_parts; ++part) {
+    reply.snapshot_part = part;
+    reply.snapshot = text.substr(part * kFetchBytes, kFetchBytes);
+    network_.Send(receiver, reply);
+  }
+}
+
+void control_loop::HandleSnapshotPart(const log_records_message& records) {
+  if (records.snapshot_part == 0) snapshot_text_.clear();
+  snapshot_text_ += *records.snapshot;
+  if (records.snapshot_part + 1 < records.snapshot_parts) return;
+  // Parts of two replies, or a lost part, give a text that is not a snapshot and is refused.
+  log_.LoadPeerSnapshot(snapshot_text_);
+  snapshot_text_.clear();
+}
+
 void control_loop::HandleRecords(const log_records_message& records) {
-  if (records.request != last_fetch_) return;
-  if (records.snapshot) log_.LoadPeerSnapshot(*records.snapshot);
+  if (records.snapshot) HandleSnapshotPart(records);
   std::vector<stream_record> list;
   for (const log_record_message& record : records.records) {
     list.push_back({record.offset, record.append_id, record.payload});
   }
-  log_.ApplyFromPeer(list, fetch_sent_at_);
+  // Records of an earlier fetch are as good, but prove nothing about the present.
+  const bool newest = records.request == last_fetch_;
+  log_.ApplyFromPeer(list, newest ? fetch_sent_at_ : context_.control_contact_at);
 }
 
 bool control_loop::FetchFromPeer() {
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -65,6 +65,8 @@
   bool IsCutOffAndStopped(time_point now) const;
   void HandleMessage(const vm_id& sender, peer_message message);
   void HandleFetch(const vm_id& sender, const log_fetch_message& fetch);
+  void SendSnapshot(const vm_id& receiver, log_records_message reply);
+  void HandleSnapshotPart(const log_records_message& records);
   void HandleRecords(const log_records_message& records);
   bool FetchFromPeer();
   boost::asio::awaitable<void> Publish(std::string json, std::function<void(admin_answer)> done);
@@ -91,6 +93,8 @@
   time_point resumed_at_{};
   std::uint64_t last_fetch_ = 0;
   time_point fetch_sent_at_{};
+  /// The parts of a peer's snapshot that have arrived.
+  std::string snapshot_text_;
   std::thread thread_;
 };
 
--- a/src/daemon/group_controller.cc
+++ b/src/daemon/group_controller.cc
@@ -58,8 +58,8 @@
 void group_controller::Tick() {
   const time_point now = context_.clock.Now();
   if (!lease_.IsHolder()) {
+    if (in_term_) context_.draining_replicas.erase(context_.settings.failure_domain);
     in_term_ = false;
-    draining_.clear();
     return;
   }
   if (!in_term_ || term_ != lease_.Fencing()) BeginTerm(now);
@@ -74,7 +74,7 @@
                             now};
   plan_result plan = planner_.Plan(input, std::move(state_));
   state_ = std::move(plan.state);
-  draining_ = std::move(plan.draining);
+  context_.draining_replicas[context_.settings.failure_domain] = std::move(plan.draining);
   for (replica_order& order : plan.orders) {
     if (!MaySend(order, now)) continue;
     outstanding_.insert(order.target);
--- a/src/daemon/group_controller.h
+++ b/src/daemon/group_controller.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <map>
 #include <set>
-#include <vector>
 
 #include "daemon/control_context.h"
 #include "daemon/lease_controller.h"
@@ -11,16 +9,14 @@
 
 namespace waxwingwing {
 
-/// Forms and repairs the replicas of the own failure domain while this node holds its lease.
+/// Forms and repairs the replicas of the own failure domain while this node holds its lease. Lists
+/// the replicas that it will release in `control_context::draining_replicas`.
 class group_controller {
  public:
   group_controller(control_context& context, lease_controller& lease);
 
   void Start();
 
-  /// Replicas that should get no new requests since they will be released.
-  const std::vector<replica_id>& draining() const { return draining_; }
-
  private:
   boost::asio::awaitable<void> Loop();
   void Tick();
@@ -39,7 +35,6 @@
   bool in_term_ = false;
   time_point term_began_{};
   std::set<vm_id> outstanding_;
-  std::vector<replica_id> draining_;
 };
 
 }  // namespace waxwingwing
--- a/src/daemon/membership_controller.cc
+++ b/src/daemon/membership_controller.cc
@@ -43,6 +43,10 @@
   for (const backend_report_message& report : status.backends) {
     context_.reports.Observe(FromMessage(report, now), now);
   }
+  const domain_lease* lease = context_.state.FindLease(status.failure_domain);
+  if (lease != nullptr && lease->vm == status.vm && lease->incarnation == status.incarnation) {
+    context_.draining_replicas[status.failure_domain] = status.draining_replicas;
+  }
   if (!status.forward) return;
   const auto targets = context_.peers.SelectForwardTargets(status.vm, sender, now);
   status.forward = false;
@@ -130,6 +134,10 @@
   status.draining = context_.draining;
   status.caller_address = caller_address_;
   status.backends = FreshReports(now);
+  const domain_lease* lease = context_.state.FindLease(context_.settings.failure_domain);
+  if (lease != nullptr && lease->vm == status.vm && lease->incarnation == status.incarnation) {
+    status.draining_replicas = context_.draining_replicas[context_.settings.failure_domain];
+  }
   return status;
 }
 
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -44,6 +44,9 @@
 
 std::string Fault(const log_records_message& message) {
   if (message.stream.empty()) return "log records name no stream";
+  const bool valid_part =
+      message.snapshot_part < message.snapshot_parts && message.snapshot_parts <= kMaxSnapshotParts;
+  if (!valid_part) return "log records have a snapshot part that is not valid";
   log_offset lowest = message.first_offset;
   for (const log_record_message& record : message.records) {
     if (record.offset < lowest) return "log records are out of order";
