--- a/src/gateway/caller_connection.cc
+++ b/src/gateway/caller_connection.cc
@@ -1,5 +1,6 @@
 #include "gateway/caller_connection.h"
 
+#include <array>
 #include <cstddef>
 
 namespace waxwingwing {
@@ -87,6 +88,17 @@
   Close();
 }
 
+awaitable<void> caller_connection::Linger(milliseconds timeout) {
+  error_code error;
+  stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+  stream_.expires_after(timeout);
+  std::array<char, kFirstRead> scratch;
+  while (!error) {
+    const auto space = asio::buffer(scratch);
+    co_await stream_.async_read_some(space, StoreError(error));
+  }
+}
+
 void caller_connection::Close() {
   error_code ignored;
   stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/gateway/caller_connection.h
+++ b/src/gateway/caller_connection.h
@@ -40,6 +40,9 @@
   /// Closes the connection when it waits for a request of which nothing has arrived.
   void CloseIfIdle();
   void Close();
+  /// Ends the connection after an answer to a request that was not read to its end. Reads on for
+  /// a while, since closing with unread bytes would reset the connection and lose the answer.
+  awaitable<void> Linger(milliseconds timeout);
 
  private:
   void StartWaiting();
--- a/src/gateway/session.cc
+++ b/src/gateway/session.cc
@@ -4,6 +4,12 @@
 #include "waxwingwing/core/scope_guard.h"
 
 namespace waxwingwing {
+namespace {
+
+// Long enough for a body of the largest size to pass over a slow path.
+constexpr milliseconds kLingerTimeout{2000};
+
+}  // namespace
 
 session::session(gateway_core& core, worker& home, const filter_chain& filters, tcp::socket socket)
     : core_(core),
@@ -14,6 +20,8 @@
 }
 
 session::~session() {
+  // The pending wait for the caller's end holds the connection, so it does not close by itself.
+  caller_->Close();
   home_.Remove(*caller_);
   core_.connections.fetch_sub(1);
 }
@@ -42,7 +50,9 @@
   if (core_.shutting_down) context.keep_alive = false;
   const bool written = co_await caller_->WriteAnswer(
       context.answer, context.id.str(), context.keep_alive, core_.settings.caller_write_timeout);
-  co_return written&& context.keep_alive && !caller_->gone();
+  if (!written) co_return false;
+  if (!context.parser.is_done()) co_await caller_->Linger(kLingerTimeout);
+  co_return context.keep_alive && !caller_->gone();
 }
 
 awaitable<void> session::Answer(request_context& context) {
