daemon: give the timer its io_context

Cause: the static analyzer of clang-tidy takes the executor that a coroutine asks for as uninitialised inside Asio's header. Change: SleepFor takes the io_context that the controllers have anyway. Ruled out: a suppression; the finding lies in a system header. Result: clang-tidy has no finding in the file; behaviour is the same.

--- a/src/daemon/claim_controller.cc
+++ b/src/daemon/claim_controller.cc
@@ -64,7 +64,7 @@
   for (;;) {
     reachable_ = co_await ReadOnce();
     DecideAll();
-    if (!reachable_) co_await SleepFor(kReadRetry);
+    if (!reachable_) co_await SleepFor(context_.io, kReadRetry);
   }
 }
 
@@ -97,12 +97,12 @@
     index_.Expire(context_.clock.Now());
     context_.metrics.Gauge("waxwingwing_idempotency_keys")
         .Set(static_cast<std::int64_t>(index_.KeyCount()));
-    co_await SleepFor(kTick);
+    co_await SleepFor(context_.io, kTick);
   }
 }
 
 boost::asio::awaitable<void> claim_controller::AppendLoop() {
-  co_await SleepFor(kGroupCommit);
+  co_await SleepFor(context_.io, kGroupCommit);
   while (!outgoing_.empty()) {
     const std::size_t size = std::min(outgoing_.size(), kEntriesPerAppend);
     const auto end = outgoing_.begin() + static_cast<std::ptrdiff_t>(size);
@@ -130,7 +130,7 @@
     // Claims need no retry: their requests are refused and may ask again.
     const bool retry = HasOutcome(batch) || !certainly_absent;
     if (!retry || context_.clock.Now() > give_up) break;
-    co_await SleepFor(kAppendRetry);
+    co_await SleepFor(context_.io, kAppendRetry);
   }
   if (certainly_absent) NoteNotAppended(batch);
 }
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -108,7 +108,7 @@
 boost::asio::awaitable<void> control_loop::FinishOnLoop(milliseconds limit) {
   const time_point deadline = context_.clock.Now() + limit;
   while (context_.clock.Now() < deadline && !(claims_.IsIdle() && lease_.IsReleased())) {
-    co_await SleepFor(kTick);
+    co_await SleepFor(context_.io, kTick);
   }
   co_await roster_->Release();
   network_.Close();
@@ -118,7 +118,7 @@
 boost::asio::awaitable<void> control_loop::TickLoop() {
   for (;;) {
     Tick();
-    co_await SleepFor(kTick);
+    co_await SleepFor(context_.io, kTick);
   }
 }
 
@@ -317,7 +317,7 @@
     }
     const bool appended = answer.state == append_state::kAppended;
     const milliseconds wait = appended ? kNotePoll : kAppendRetry;
-    co_await SleepFor(wait);
+    co_await SleepFor(context_.io, wait);
   }
   if (context_.state.FindVerdict(id) != nullptr) {
     done(admin_.ReleaseNote(id));
--- a/src/daemon/coroutine_timer.cc
+++ b/src/daemon/coroutine_timer.cc
@@ -2,14 +2,12 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 namespace waxwingwing {
 
-boost::asio::awaitable<void> SleepFor(milliseconds time) {
-  const auto executor = co_await boost::asio::this_coro::executor;
-  boost::asio::steady_timer timer(executor, time);
+boost::asio::awaitable<void> SleepFor(boost::asio::io_context& io, milliseconds time) {
+  boost::asio::steady_timer timer(io, time);
   boost::system::error_code ignored;
   co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
 }
--- a/src/daemon/coroutine_timer.h
+++ b/src/daemon/coroutine_timer.h
@@ -4,12 +4,13 @@
 // clang-format off
 #include <boost/asio/awaitable.hpp>
 // clang-format on
+#include <boost/asio/io_context.hpp>
 
 #include "waxwingwing/core/units.h"
 
 namespace waxwingwing {
 
-/// Suspends the calling coroutine for `time`.
-boost::asio::awaitable<void> SleepFor(milliseconds time);
+/// Suspends the calling coroutine for `time`. `io` is the context that it runs on.
+boost::asio::awaitable<void> SleepFor(boost::asio::io_context& io, milliseconds time);
 
 }  // namespace waxwingwing
--- a/src/daemon/credit_controller.cc
+++ b/src/daemon/credit_controller.cc
@@ -44,7 +44,7 @@
       next = now + kAskInterval;
       soonest = now + kShortAskInterval;
     }
-    co_await SleepFor(kTick);
+    co_await SleepFor(context_.io, kTick);
   }
 }
 
--- a/src/daemon/group_controller.cc
+++ b/src/daemon/group_controller.cc
@@ -51,7 +51,7 @@
 boost::asio::awaitable<void> group_controller::Loop() {
   for (;;) {
     Tick();
-    co_await SleepFor(kTick);
+    co_await SleepFor(context_.io, kTick);
   }
 }
 
--- a/src/daemon/lease_controller.cc
+++ b/src/daemon/lease_controller.cc
@@ -48,7 +48,7 @@
 boost::asio::awaitable<void> lease_controller::Loop() {
   for (;;) {
     Tick();
-    co_await SleepFor(kTick);
+    co_await SleepFor(context_.io, kTick);
   }
 }
 
--- a/src/daemon/log_controller.cc
+++ b/src/daemon/log_controller.cc
@@ -80,7 +80,7 @@
     SetReachable(read);
     if (read) continue;
     if (fetch_()) context_.metrics.Counter("waxwingwing_peer_fetches_total").Increment();
-    co_await SleepFor(kReadRetry);
+    co_await SleepFor(context_.io, kReadRetry);
   }
 }
 
@@ -128,7 +128,7 @@
 
 boost::asio::awaitable<void> log_controller::SnapshotLoop() {
   for (;;) {
-    co_await SleepFor(kSnapshotCheck);
+    co_await SleepFor(context_.io, kSnapshotCheck);
     if (!log_reachable_ || !WritesSnapshots()) continue;
     const log_offset next = context_.state.next_offset();
     if (next == snapshot_offset_) continue;
--- a/src/daemon/membership_controller.cc
+++ b/src/daemon/membership_controller.cc
@@ -85,7 +85,7 @@
     } else {
       context_.metrics.Counter("waxwingwing_vm_list_failures_total").Increment();
     }
-    co_await SleepFor(kListInterval);
+    co_await SleepFor(context_.io, kListInterval);
   }
 }
 
@@ -96,14 +96,14 @@
       if (!IsPoller(vm, now) || polling_.contains(vm.id)) continue;
       boost::asio::co_spawn(context_.io, Poll(vm), boost::asio::detached);
     }
-    co_await SleepFor(kPollInterval);
+    co_await SleepFor(context_.io, kPollInterval);
   }
 }
 
 boost::asio::awaitable<void> membership_controller::PushLoop() {
   for (;;) {
     PushStatus();
-    co_await SleepFor(kPushInterval);
+    co_await SleepFor(context_.io, kPushInterval);
   }
 }
 
--- a/src/daemon/roster_controller.cc
+++ b/src/daemon/roster_controller.cc
@@ -55,7 +55,7 @@
 boost::asio::awaitable<void> roster_controller::Loop() {
   while (!releasing_) {
     co_await Tick();
-    co_await SleepFor(kTick);
+    co_await SleepFor(context_.io, kTick);
   }
 }
 
@@ -67,7 +67,7 @@
   const append_answer answer = co_await log_.Append(id, *claim);
   if (answer.state != append_state::kAppended) co_return;
   // Lets the record come back through the stream before another slot is tried.
-  co_await SleepFor(kTick);
+  co_await SleepFor(context_.io, kTick);
 }
 
 std::optional<roster_record> roster_controller::NextClaim(time_point now) {
