--- a/include/waxwingwing/platform/http_client.h
+++ b/include/waxwingwing/platform/http_client.h
@@ -5,6 +5,7 @@
 // clang-format off
 #include <boost/asio/awaitable.hpp>
 // clang-format on
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -12,6 +13,7 @@
 
 #include "waxwingwing/core/result.h"
 #include "waxwingwing/core/units.h"
+#include "waxwingwing/metrics/metrics_registry.h"
 
 namespace waxwingwing {
 
@@ -33,6 +35,8 @@
   byte_count body_limit{std::uint64_t{1} << 20U};
   /// Whether an idle connection may be used and the connection may be kept afterwards.
   bool reuse_connection = true;
+  /// Label of the byte counters.
+  std::string_view service = "other";
 };
 
 struct http_reply {
@@ -58,7 +62,9 @@
 /// silent while new ones work. Use from one `io_context` thread; must outlive its exchanges.
 class http_client {
  public:
-  http_client();
+  /// Counts bytes by service as `waxwingwing_platform_bytes_{sent,received}_total` when `metrics`
+  /// is given; it must outlive the client.
+  explicit http_client(metrics_registry* metrics = nullptr);
   ~http_client();
   http_client(const http_client&) = delete;
   http_client& operator=(const http_client&) = delete;
@@ -69,6 +75,9 @@
 
  private:
   class connection_pool;
+  void CountBytes(std::string_view service, std::size_t sent, std::size_t received);
+
+  metrics_registry* metrics_;
   std::unique_ptr<connection_pool> idle_;
 };
 
--- a/src/daemon/control_context.h
+++ b/src/daemon/control_context.h
@@ -37,7 +37,7 @@
   const incarnation own_incarnation;
 
   boost::asio::io_context io{1};
-  http_client http;
+  http_client http{&metrics};
   control_state state;
   report_table reports;
   peer_table peers;
--- a/src/platform/engine_client.cc
+++ b/src/platform/engine_client.cc
@@ -21,6 +21,7 @@
                          milliseconds timeout) {
   http_request request;
   request.address = std::move(address);
+  request.service = "backend";
   request.method = "POST";
   request.target = std::move(target);
   request.headers.push_back({"Content-Type", "application/json"});
@@ -138,6 +139,7 @@
 awaitable<result<backend_report>> engine_client::Status(vm_entry vm, milliseconds timeout) {
   http_request request;
   request.address = vm.address;
+  request.service = "backend";
   request.target = "/v1/status";
   request.timeout = timeout;
   const time_point sent_at = clock_.Now();
--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -33,6 +33,8 @@
   bool answer_begun = false;
   bool timed_out = false;
   bool keep_connection = false;
+  std::size_t bytes_sent = 0;
+  std::size_t bytes_received = 0;
 };
 
 bool HasLineBreak(std::string_view text) {
@@ -100,7 +102,8 @@
   const auto message = MessageOf(request);
   error_code error;
   stream.expires_at(deadline);
-  co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+  const std::size_t sent =
+      co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return FailedAttempt("sending", error);
 
   beast::flat_buffer buffer;
@@ -110,20 +113,24 @@
   parser.skip(request.method == "HEAD");
   // Beast 1.74 forgets the body limit error of a header that it parses together with its body, so
   // the header is read on its own.
-  co_await http::async_read_header(stream, buffer, parser,
-                                   asio::redirect_error(asio::use_awaitable, error));
+  std::size_t received = co_await http::async_read_header(
+      stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
   if (!error) {
-    co_await http::async_read(stream, buffer, parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    received += co_await http::async_read(stream, buffer, parser,
+                                          asio::redirect_error(asio::use_awaitable, error));
   }
   const bool answer_begun = parser.got_some() || buffer.size() > 0;
   if (error) {
     attempt_result failed = FailedAttempt("receiving", error);
     failed.answer_begun = answer_begun;
+    failed.bytes_sent = sent;
+    failed.bytes_received = received;
     co_return failed;
   }
   attempt_result outcome;
   outcome.answer_begun = true;
+  outcome.bytes_sent = sent;
+  outcome.bytes_received = received;
   outcome.keep_connection = request.reuse_connection && parser.keep_alive() && buffer.size() == 0;
   outcome.reply = ReplyOf(parser.release());
   co_return outcome;
@@ -190,10 +197,18 @@
   return {};
 }
 
-http_client::http_client() : idle_(std::make_unique<connection_pool>()) {}
+http_client::http_client(metrics_registry* metrics)
+    : metrics_(metrics), idle_(std::make_unique<connection_pool>()) {}
 
 http_client::~http_client() = default;
 
+void http_client::CountBytes(std::string_view service, std::size_t sent, std::size_t received) {
+  if (metrics_ == nullptr) return;
+  const metric_labels labels = {{"service", std::string(service)}};
+  metrics_->Counter("waxwingwing_platform_bytes_sent_total", labels).Increment(sent);
+  metrics_->Counter("waxwingwing_platform_bytes_received_total", labels).Increment(received);
+}
+
 asio::awaitable<http_exchange> http_client::Exchange(http_request request) {
   const std::string fault = FaultOf(request);
   if (!fault.empty()) co_return NotSent(request, fault);
@@ -205,6 +220,7 @@
   if (request.reuse_connection) stream = idle_->Take(request.address);
   if (stream) {
     attempt_result first = co_await RunAttempt(*stream, request, deadline);
+    CountBytes(request.service, first.bytes_sent, first.bytes_received);
     if (first.keep_connection) idle_->Keep(request.address, std::move(stream));
     if (first.timed_out) idle_->Drop(request.address);
     const bool may_repeat = !first.answer_begun && !first.timed_out && request.method == "GET";
@@ -219,6 +235,7 @@
   if (error) co_return NotSent(request, "connecting: " + error.message());
   stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
   attempt_result outcome = co_await RunAttempt(*stream, request, deadline);
+  CountBytes(request.service, outcome.bytes_sent, outcome.bytes_received);
   if (outcome.keep_connection) idle_->Keep(request.address, std::move(stream));
   if (outcome.timed_out) idle_->Drop(request.address);
   co_return Finished(request, std::move(outcome));
--- a/src/platform/log_client.cc
+++ b/src/platform/log_client.cc
@@ -126,6 +126,7 @@
 
   http_request request;
   request.address = address_;
+  request.service = "log";
   request.method = "POST";
   request.target = RecordsTarget(stream);
   request.headers.push_back({"Content-Type", "application/json"});
@@ -138,6 +139,7 @@
 awaitable<read_answer> log_client::Read(std::string stream, stream_range range) {
   http_request request;
   request.address = address_;
+  request.service = "log";
   request.target = fmt::format("{}?from={}&limit={}&wait_ms={}", RecordsTarget(stream),
                                range.from.get(), range.limit, range.wait.count());
   request.timeout = timeout_ + range.wait;
--- a/src/platform/vm_list_client.cc
+++ b/src/platform/vm_list_client.cc
@@ -93,6 +93,7 @@
 boost::asio::awaitable<result<vm_list>> vm_list_client::Read() {
   http_request request;
   request.address = address_;
+  request.service = "vm_list";
   request.target = "/v1/vms";
   request.timeout = timeout_;
   request.body_limit = kMaxListBytes;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -13,7 +13,8 @@
 struct http_fixture {
   boost::asio::io_context context;
   scripted_http_server server{context};
-  http_client client;
+  metrics_registry metrics;
+  http_client client{&metrics};
 
   http_exchange Run(const std::string& method, milliseconds timeout = milliseconds(5000)) {
     http_request request;
@@ -23,6 +24,7 @@
     request.body = method == "POST" ? "{}" : "";
     request.timeout = timeout;
     request.body_limit = byte_count(100);
+    request.service = "test";
     return RunAwaitable(context, client.Exchange(request));
   }
 };
@@ -109,6 +111,25 @@
   REQUIRE(exchange.reply.reason().find("receiving") != std::string::npos);
 }
 
+// Guards against capacity figures that miss the head of a message or a second exchange.
+TEST_CASE("the bytes of every exchange are counted by service", "[platform]") {
+  http_fixture test;
+  test.server.Add({.body = std::string(50, 'x')});
+  test.server.Add({.body = std::string(50, 'x')});
+  const metric_labels labels = {{"service", "test"}};
+  const counter& sent = test.metrics.Counter("waxwingwing_platform_bytes_sent_total", labels);
+  const counter& received =
+      test.metrics.Counter("waxwingwing_platform_bytes_received_total", labels);
+  REQUIRE(test.Run("GET").reply);
+  const std::uint64_t sent_once = sent.value();
+  const std::uint64_t received_once = received.value();
+  CHECK(sent_once > std::string("GET /v1/test HTTP/1.1\r\n").size());
+  CHECK(received_once > 50 + std::string("HTTP/1.1 200 OK\r\n").size());
+  REQUIRE(test.Run("GET").reply);
+  CHECK(sent.value() == 2 * sent_once);
+  CHECK(received.value() == 2 * received_once);
+}
+
 TEST_CASE("a refused connection is told apart from a lost answer", "[platform]") {
   boost::asio::io_context context;
   http_client client;
