membership: select pollers from one list of live members a round

Cause: each node lists the live members of its domain anew for each backend server of the domain, four times a second, and sorts copies of all ids to find the one with the highest weight.

Change: a round lists the live members once, and SelectPoller takes the maximum without copies or a sort. Equal weights still go to the higher id.

Ruled out: caching the poller of each backend server, which would have to follow every change of liveness.

Conclusion: the remaining work of the selection is one hash for each pair of backend server and member of the domain.

--- a/src/daemon/membership_controller.cc
+++ b/src/daemon/membership_controller.cc
@@ -87,10 +87,9 @@
 
 boost::asio::awaitable<void> membership_controller::PollLoop() {
   for (;;) {
-    const time_point now = context_.clock.Now();
-    for (const vm_entry& vm : context_.vms) {
-      if (!IsPoller(vm, now) || polling_.contains(vm.id)) continue;
-      boost::asio::co_spawn(context_.io, Poll(vm), boost::asio::detached);
+    for (const vm_entry* vm : PolledBackends(context_.clock.Now())) {
+      if (polling_.contains(vm->id)) continue;
+      boost::asio::co_spawn(context_.io, Poll(*vm), boost::asio::detached);
     }
     co_await SleepFor(kPollInterval);
   }
@@ -113,11 +112,15 @@
   if (report) context_.reports.Observe(*report, context_.clock.Now());
 }
 
-bool membership_controller::IsPoller(const vm_entry& vm, time_point now) const {
-  if (vm.role == vm_role::kEntry) return false;
-  if (vm.failure_domain != context_.settings.failure_domain) return false;
-  const auto poller = SelectPoller(vm.id, context_.peers.LivePollers(now));
-  return poller == context_.settings.vm;
+std::vector<const vm_entry*> membership_controller::PolledBackends(time_point now) const {
+  const std::vector<vm_id> pollers = context_.peers.LivePollers(now);
+  std::vector<const vm_entry*> polled;
+  for (const vm_entry& vm : context_.vms) {
+    if (vm.role == vm_role::kEntry) continue;
+    if (vm.failure_domain != context_.settings.failure_domain) continue;
+    if (SelectPoller(vm.id, pollers) == context_.settings.vm) polled.push_back(&vm);
+  }
+  return polled;
 }
 
 node_status_message membership_controller::OwnStatus(time_point now) {
@@ -135,9 +138,8 @@
 
 std::vector<backend_report_message> membership_controller::FreshReports(time_point now) const {
   std::vector<backend_report_message> reports;
-  for (const vm_entry& vm : context_.vms) {
-    if (!IsPoller(vm, now)) continue;
-    const backend_report* report = context_.reports.FindFresh(vm.id, now);
+  for (const vm_entry* vm : PolledBackends(now)) {
+    const backend_report* report = context_.reports.FindFresh(vm->id, now);
     if (report != nullptr) reports.push_back(ToMessage(*report, now));
   }
   return reports;
--- a/src/daemon/membership_controller.h
+++ b/src/daemon/membership_controller.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "daemon/control_context.h"
 #include "waxwingwing/peer/messages.h"
@@ -37,7 +38,8 @@
   boost::asio::awaitable<void> PollLoop();
   boost::asio::awaitable<void> PushLoop();
   boost::asio::awaitable<void> Poll(vm_entry vm);
-  bool IsPoller(const vm_entry& vm, time_point now) const;
+  /// The backend servers of the own domain that this node polls; valid until the list changes.
+  std::vector<const vm_entry*> PolledBackends(time_point now) const;
   node_status_message OwnStatus(time_point now);
   std::vector<backend_report_message> FreshReports(time_point now) const;
 
--- a/src/membership/rendezvous.cc
+++ b/src/membership/rendezvous.cc
@@ -24,8 +24,18 @@
 }
 
 vm_id SelectPoller(const vm_id& backend, const std::vector<vm_id>& live_members) {
-  const std::vector<vm_id> selected = SelectByRendezvous(live_members, backend.str(), 1);
-  return selected.empty() ? vm_id() : selected.front();
+  const vm_id* best = nullptr;
+  std::uint64_t best_weight = 0;
+  for (const vm_id& member : live_members) {
+    const std::uint64_t weight = RendezvousWeight(member.str(), backend.str());
+    // Equal weights go to the higher id, as in `SelectByRendezvous`.
+    const bool better =
+        best == nullptr || weight > best_weight || (weight == best_weight && *best < member);
+    if (!better) continue;
+    best = &member;
+    best_weight = weight;
+  }
+  return best == nullptr ? vm_id() : *best;
 }
 
 }  // namespace waxwingwing
