--- a/stand_ins/engine.cc
+++ b/stand_ins/engine.cc
@@ -13,6 +13,8 @@
 // fault.
 constexpr milliseconds kPollInterval{5};
 constexpr std::size_t kCachedPrefixCharacters = 64;
+// Bounds the memory of the records; longer answers can be computed from the request's text.
+constexpr std::size_t kRecordedAnswerBytes = 1024;
 
 engine_load::limits LimitsFromFlags() {
   return {FLAGS_cold_requests, FLAGS_max_requests, milliseconds(FLAGS_warm_up_ms),
@@ -172,7 +174,8 @@
                    {{"ended_at_us", MonotonicMicros()},
                     {"ended", request.ended},
                     {"last_token_at_us", request.last_token_at_us},
-                    {"tokens_sent", request.tokens_sent}});
+                    {"tokens_sent", request.tokens_sent},
+                    {"sent", request.sent}});
 }
 
 awaitable<void> engine::Stream(engine_request& request) {
@@ -184,7 +187,7 @@
     const bool runs = co_await NextToken(request, index, due);
     if (!runs) co_return;
     open = co_await exchange.WriteChunk(ToEvent(request.source, index));
-    if (open) NoteToken(request);
+    if (open) NoteToken(request, index);
   }
   if (open) open = co_await exchange.WriteChunk("data: [DONE]\n\n");
   if (open) open = co_await exchange.EndChunks();
@@ -198,7 +201,7 @@
     const bool runs = co_await NextToken(request, index, due);
     if (!runs) co_return;
     content += AnswerToken(request.source.text, index);
-    NoteToken(request);
+    NoteToken(request, index);
   }
   const json message = {{"role", "assistant"}, {"content", content}};
   const json choice = {{"index", 0}, {"message", message}, {"finish_reason", "length"}};
@@ -230,8 +233,11 @@
   }
 }
 
-void engine::NoteToken(engine_request& request) {
+void engine::NoteToken(engine_request& request, std::uint64_t index) {
   ++request.tokens_sent;
+  if (request.sent.size() < kRecordedAnswerBytes) {
+    request.sent += AnswerToken(request.source.text, index);
+  }
   const std::int64_t now = MonotonicMicros();
   // Only the first token writes a line to the records file at once; the last one is written at the
   // end of the request.
--- a/stand_ins/engine.h
+++ b/stand_ins/engine.h
@@ -54,7 +54,7 @@
   awaitable<void> AnswerWhole(engine_request& request);
   /// Waits for the time of the next token; false when the request ended.
   awaitable<bool> NextToken(engine_request& request, std::uint64_t index, time_point& due);
-  void NoteToken(engine_request& request);
+  void NoteToken(engine_request& request, std::uint64_t index);
   /// Ends a request from outside its own coroutine.
   void Stop(engine_request& request, const std::string& how);
   void StopAll(const std::string& how);
--- a/stand_ins/engine_request.h
+++ b/stand_ins/engine_request.h
@@ -34,6 +34,8 @@
   half_way fault = half_way::kNothing;
   std::size_t record = 0;
   std::uint64_t tokens_sent = 0;
+  /// The beginning of the answer, as far as the records keep it.
+  std::string sent;
   std::int64_t last_token_at_us = 0;
   /// How it ended; empty while it runs.
   std::string ended;
