daemon, cli: show refusals, retries and record results to operators

Cause: `waxwingwing status` has a section for refusals but entry VMs sent none. Records of the log that were skipped, and release notes that were refused, had no counter. waxwingwing_log_reachable was missing while the log had never answered, so that an alert on the value 0 stayed silent.

Conclusion: every refusal and retry reason is visible in status and metrics.

--- a/include/waxwingwing/metrics/metrics_registry.h
+++ b/include/waxwingwing/metrics/metrics_registry.h
@@ -71,6 +71,11 @@
   gauge& Gauge(std::string_view name, const metric_labels& labels = {});
   quantile_summary& Summary(std::string_view name, const metric_labels& labels = {});
 
+  /// Values of the counters with this name and the one label `label`, by the label's value. Values
+  /// are as printed, that is, escaped.
+  std::map<std::string, std::uint64_t> CountersBy(std::string_view name,
+                                                  std::string_view label) const;
+
   std::string ToText() const;
 
  private:
--- a/src/cli/operator_command.cc
+++ b/src/cli/operator_command.cc
@@ -23,7 +23,12 @@
     "       waxwingwing status\n"
     "       waxwingwing drain DOMAIN\n"
     "       waxwingwing restore DOMAIN\n"
-    "flags: --entry_address=ip:port[,ip:port...] --timeout_ms=N\n";
+    "flags, also as environment variables such as WAXWINGWING_ENTRY_ADDRESS:\n"
+    "  --entry_address=ip:port[,ip:port...]  callers' addresses of entry VMs, tried in order\n"
+    "  --timeout_ms=N                        longest time for the command, default 30000\n"
+    "  --wait_in_force                       wait until every entry VM has confirmed the note\n"
+    "exit codes: 0 done, 1 rejected, 2 wrong usage, 3 not confirmed in time, 4 no entry VM "
+    "answers\n";
 constexpr const char* kNotesTarget = "/v1/admin/release_notes";
 constexpr std::uint32_t kOk = 200;
 constexpr std::uint32_t kFirstClientError = 400;
@@ -187,6 +192,10 @@
 
 int RunOperatorCommand(const std::vector<std::string>& arguments, std::ostream& out,
                        std::ostream& err) {
+  if (std::find(arguments.begin(), arguments.end(), "--help") != arguments.end()) {
+    out << kUsage;
+    return static_cast<int>(operator_exit::kDone);
+  }
   finding_list findings;
   const operator_arguments read = ReadOperatorArguments(arguments, findings);
   const auto found =
--- a/src/cli/operator_report.cc
+++ b/src/cli/operator_report.cc
@@ -9,7 +9,8 @@
 
 using nlohmann::json;
 
-constexpr const char* kStatusSections[] = {"replicas", "services", "nodes", "leases", "refusals"};
+constexpr const char* kStatusSections[] = {"replicas", "services", "nodes",
+                                           "leases",   "refusals", "retries"};
 constexpr const char* kFirstMembers[] = {"id", "vm", "service", "failure_domain"};
 
 /// Text without control characters, which could change the terminal.
--- a/src/daemon/admin_answers.cc
+++ b/src/daemon/admin_answers.cc
@@ -37,6 +37,8 @@
       {"services", Services()},
       {"nodes", Nodes()},
       {"leases", Leases()},
+      {"refusals", context_.metrics.CountersBy("waxwingwing_refusals_total", "reason")},
+      {"retries", context_.metrics.CountersBy("waxwingwing_retries_total", "reason")},
   };
   return {200, ToJsonText(body)};
 }
--- a/src/daemon/admin_answers.h
+++ b/src/daemon/admin_answers.h
@@ -14,7 +14,8 @@
   admin_answers(const control_context& context, const backend_catalog& catalog)
       : context_(context), catalog_(catalog) {}
 
-  /// Configuration, replicas, nodes and leases as this node knows them.
+  /// Configuration, replicas, nodes and leases as this node knows them, and the refusals and
+  /// retries that this node counted since it started.
   admin_answer Status() const;
   /// The verdict on a release note, and which nodes have it in force.
   admin_answer ReleaseNote(const note_id& note) const;
--- a/src/daemon/claim_controller.cc
+++ b/src/daemon/claim_controller.cc
@@ -24,6 +24,20 @@
 /// Outcomes and releases are kept for the log this long; after it the outcome stays unknown.
 constexpr std::chrono::minutes kAppendLimit{10};
 
+const char* Label(claims_apply_result result) {
+  switch (result) {
+    case claims_apply_result::kApplied:
+      return "applied";
+    case claims_apply_result::kDuplicate:
+      return "duplicate";
+    case claims_apply_result::kMalformed:
+      return "malformed";
+    case claims_apply_result::kWrongOffset:
+      return "wrong_offset";
+  }
+  return "unknown";
+}
+
 bool HasOutcome(const std::vector<claims_entry>& batch) {
   return std::any_of(batch.begin(), batch.end(), [](const claims_entry& entry) {
     return !std::holds_alternative<claim_entry>(entry);
@@ -85,7 +99,12 @@
     co_return true;
   }
   for (const stream_record& record : answer.page.records) {
-    NoteFates(index_.Apply(record.offset, record.append_id, record.payload, now).decided);
+    const applied_claims applied =
+        index_.Apply(record.offset, record.append_id, record.payload, now);
+    context_.metrics
+        .Counter("waxwingwing_claims_records_total", {{"result", Label(applied.result)}})
+        .Increment();
+    NoteFates(applied.decided);
   }
   if (index_.next_offset() == answer.page.next_offset) current_at_ = sent_at;
   co_return true;
--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -279,10 +279,15 @@
   boost::asio::post(context_.io, [this, done = std::move(done)] { done(admin_.Status()); });
 }
 
+void control_loop::CountNote(const char* result) {
+  context_.metrics.Counter("waxwingwing_release_notes_total", {{"result", result}}).Increment();
+}
+
 boost::asio::awaitable<void> control_loop::Publish(std::string json,
                                                    std::function<void(admin_answer)> done) {
   const release_note_reading reading = ParseReleaseNote(json);
   if (!reading.note) {
+    CountNote("malformed");
     done(admin_answers::MalformedNote(reading.findings));
     co_return;
   }
@@ -299,9 +304,12 @@
     const milliseconds wait = appended ? kNotePoll : kAppendRetry;
     co_await SleepFor(wait);
   }
-  if (context_.state.FindVerdict(id) != nullptr) {
+  const release_note_verdict* verdict = context_.state.FindVerdict(id);
+  if (verdict != nullptr) {
+    CountNote(verdict->accepted ? "accepted" : "rejected");
     done(admin_.ReleaseNote(id));
   } else {
+    CountNote("log_unavailable");
     done(admin_answers::Error(503, "log_unavailable",
                               "no verdict yet; ask again with the same note_id"));
   }
--- a/src/daemon/control_loop.h
+++ b/src/daemon/control_loop.h
@@ -67,6 +67,8 @@
   void HandleFetch(const vm_id& sender, const log_fetch_message& fetch);
   void HandleRecords(const log_records_message& records);
   bool FetchFromPeer();
+  /// Counts how a release note that was published through this node ended.
+  void CountNote(const char* result);
   boost::asio::awaitable<void> Publish(std::string json, std::function<void(admin_answer)> done);
   boost::asio::awaitable<void> FinishOnLoop(milliseconds limit);
   void ConnectPeers();
--- a/src/daemon/log_controller.cc
+++ b/src/daemon/log_controller.cc
@@ -27,6 +27,22 @@
 constexpr std::chrono::seconds kSnapshotInterval{60};
 constexpr milliseconds kSnapshotCheck{1000};
 
+const char* Label(apply_result result) {
+  switch (result) {
+    case apply_result::kApplied:
+      return "applied";
+    case apply_result::kRefused:
+      return "refused";
+    case apply_result::kDuplicate:
+      return "duplicate";
+    case apply_result::kMalformed:
+      return "malformed";
+    case apply_result::kWrongOffset:
+      return "wrong_offset";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 log_controller::log_controller(control_context& context, fetch_from_peer fetch)
@@ -162,6 +178,8 @@
   for (const stream_record& record : records) {
     const apply_result outcome =
         context_.state.Apply(record.offset, record.append_id, record.payload);
+    context_.metrics.Counter("waxwingwing_control_records_total", {{"result", Label(outcome)}})
+        .Increment();
     if (outcome == apply_result::kWrongOffset) continue;
     changed = true;
     recent_.push_back(record);
@@ -171,9 +189,10 @@
 }
 
 void log_controller::SetReachable(bool reachable) {
+  // Set on every read, since an outage that begins before the process must show, too.
+  context_.metrics.Gauge("waxwingwing_log_reachable").Set(reachable ? 1 : 0);
   if (reachable == log_reachable_) return;
   log_reachable_ = reachable;
-  context_.metrics.Gauge("waxwingwing_log_reachable").Set(reachable ? 1 : 0);
   LOG(INFO) << "event=log_" << (reachable ? "reachable" : "unreachable")
             << " next_offset=" << context_.state.next_offset();
 }
--- a/src/metrics/metrics_registry.cc
+++ b/src/metrics/metrics_registry.cc
@@ -95,6 +95,20 @@
   return FindOrAdd(summaries_, name, labels);
 }
 
+std::map<std::string, std::uint64_t> metrics_registry::CountersBy(std::string_view name,
+                                                                  std::string_view label) const {
+  const std::string prefix = std::string(label) + "=\"";
+  std::map<std::string, std::uint64_t> values;
+  const std::lock_guard lock(mutex_);
+  const auto found = counters_.find(std::string(name));
+  if (found == counters_.end()) return values;
+  for (const auto& [labels, metric] : found->second) {
+    if (!labels.starts_with(prefix)) continue;
+    values[labels.substr(prefix.size(), labels.size() - prefix.size() - 1)] = metric->value();
+  }
+  return values;
+}
+
 std::string metrics_registry::ToText() const {
   const std::lock_guard lock(mutex_);
   std::string text;
--- a/tests/unit/metrics_test.cc
+++ b/tests/unit/metrics_test.cc
@@ -29,6 +29,18 @@
           "# TYPE calls counter\ncalls{organisation=\"a\\\"b\\\\c\\nd 9\",code=\"x\"} 1\n");
 }
 
+// Guards against a status that mixes counters of other names or labels into the refusals.
+TEST_CASE("counters are listed by the value of their label", "[metrics]") {
+  metrics_registry metrics;
+  metrics.Counter("refusals", {{"reason", "queue_full"}}).Increment(3);
+  metrics.Counter("refusals", {{"reason", "no_capacity"}}).Increment();
+  metrics.Counter("refusals", {{"organisation", "acme"}}).Increment();
+  metrics.Counter("retries", {{"reason", "stream_cut"}}).Increment();
+  const std::map<std::string, std::uint64_t> expected = {{"no_capacity", 1}, {"queue_full", 3}};
+  REQUIRE(metrics.CountersBy("refusals", "reason") == expected);
+  REQUIRE(metrics.CountersBy("missing", "reason").empty());
+}
+
 TEST_CASE("the same name and labels give the same metric", "[metrics]") {
   metrics_registry metrics;
   counter& first = metrics.Counter("calls", {{"code", "1"}});
--- a/tests/unit/operator_command_test.cc
+++ b/tests/unit/operator_command_test.cc
@@ -32,7 +32,7 @@
 constexpr const char* kStatus =
     R"({"control_offset":9,"configuration":{"failure_domains":[{"id":"ifo","state":"in",)"
     R"("revision":5}]},"replicas":[{"id":"r1","serving":true,"members":["e1","e2"]}],)"
-    R"("nodes":[{"vm":"n1","note":"a\u001bb"}],"refusals":{"queue_full":3}})";
+    R"("nodes":[{"vm":"n1","note":"a\u001bb"}],"refusals":{"queue_full":3},"retries":{"stream_cut":2}})";
 
 /// An entry VM that answers from a script while the command blocks, and what the command printed.
 class cli_fixture {
@@ -168,6 +168,7 @@
   CHECK(Contains(test.out, "failure_domains:\n  id=ifo revision=5 state=in\n"));
   CHECK(Contains(test.out, "replicas:\n  id=r1 members=e1,e2 serving=true\n"));
   CHECK(Contains(test.out, "refusals:\n  queue_full=3\n"));
+  CHECK(Contains(test.out, "retries:\n  stream_cut=2\n"));
   // Guards against text from outside that controls the operator's terminal.
   CHECK(Contains(test.out, "note=a?b"));
   // The first address refused the connection; the second one answered.
@@ -204,6 +205,16 @@
   CHECK(out.str().empty());
 }
 
+// Guards against a help request that is reported as a wrong flag or sent to an entry VM.
+TEST_CASE("--help prints the usage and gives exit code 0", "[cli]") {
+  std::ostringstream out;
+  std::ostringstream err;
+  CHECK(RunOperatorCommand({"apply", "--help"}, out, err) == 0);
+  CHECK(Contains(out, "waxwingwing apply FILE"));
+  CHECK(Contains(out, "--wait_in_force"));
+  CHECK(err.str().empty());
+}
+
 TEST_CASE("wrong usage reports all faults and gives exit code 2", "[cli]") {
   std::ostringstream out;
   std::ostringstream err;
