--- a/include/waxwingwing/gateway/gateway_server.h
+++ b/include/waxwingwing/gateway/gateway_server.h
@@ -33,7 +33,7 @@
 /// destructor ends what still runs.
 class gateway_server {
  public:
-  gateway_server(gateway_settings settings, const gateway_dependencies& dependencies);
+  gateway_server(const gateway_settings& settings, const gateway_dependencies& dependencies);
   gateway_server(const gateway_server&) = delete;
   gateway_server& operator=(const gateway_server&) = delete;
   ~gateway_server();
--- a/include/waxwingwing/streaming/relay_buffer.h
+++ b/include/waxwingwing/streaming/relay_buffer.h
@@ -23,6 +23,9 @@
   /// Appends all of `bytes`, or nothing when the stream's limit or an account has no room.
   bool TryAppend(std::string_view bytes);
 
+  /// Whether `bytes` could be appended now; other streams may take the room at any time.
+  bool HasRoom(byte_count bytes) const;
+
   /// Moves the waiting bytes to the block to be written and returns it; empty when nothing waits.
   /// The block stays valid until `EndWrite`.
   const std::string& BeginWrite();
--- a/src/gateway/answer_collector.cc
+++ b/src/gateway/answer_collector.cc
@@ -30,7 +30,7 @@
   while (!account_->TryReserve(added)) {
     const time_point now = std::chrono::steady_clock::now();
     if (context_.caller->gone()) co_return push_result::kCallerGone;
-    if (now >= give_up) co_return push_result::kStalled;
+    if (now >= give_up) co_return push_result::kNoRoom;
     co_await pause.WaitUntil(now + kAccountInterval);
   }
   content_ += token.content;
@@ -40,17 +40,7 @@
 }
 
 awaitable<bool> answer_collector::WaitUntilRead() {
-  // Its own bytes are never read before the answer is complete, so waiting helps only when other
-  // streams of the organisation end.
-  async_event pause(context_.executor());
-  while (!context_.caller->gone()) {
-    const byte_count probe(1);
-    if (account_->TryReserve(probe)) {
-      account_->Release(probe);
-      co_return true;
-    }
-    co_await pause.WaitUntil(std::chrono::steady_clock::now() + kAccountInterval);
-  }
+  // Nothing is read before the answer is complete, so `Push` never reports a stall.
   co_return false;
 }
 
--- a/src/gateway/answer_sink.h
+++ b/src/gateway/answer_sink.h
@@ -15,6 +15,8 @@
   kCallerGone,
   /// The answer exceeds what may be collected.
   kTooLarge,
+  /// The organisation or the process has no room to collect it.
+  kNoRoom,
 };
 
 /// Takes the tokens of an answer in order, whichever attempt they come from.
--- a/src/gateway/caller_stream.cc
+++ b/src/gateway/caller_stream.cc
@@ -10,6 +10,8 @@
 
 // An account without room gives no notice when it has room again, so it is asked this often.
 constexpr milliseconds kAccountInterval{20};
+// With less room an answer that is resumed would stall again after its first tokens.
+constexpr byte_count kRoomToResume{1024};
 
 time_point Now() { return std::chrono::steady_clock::now(); }
 
@@ -79,8 +81,9 @@
 
 awaitable<bool> caller_stream::WaitUntilRead() {
   shared_state& state = *state_;
-  while (!state.buffer.empty() && !state.caller->gone()) {
-    co_await state.progress.WaitUntil(Now() + state.write_timeout);
+  while (!state.caller->gone()) {
+    if (state.buffer.empty() && state.buffer.HasRoom(kRoomToResume)) break;
+    co_await state.progress.WaitUntil(Now() + kAccountInterval);
   }
   co_return !state.caller->gone();
 }
--- a/src/gateway/chat_request.cc
+++ b/src/gateway/chat_request.cc
@@ -52,7 +52,8 @@
   const auto field = document.find("max_tokens");
   if (field == document.end() || field->is_null()) return true;
   if (!field->is_number_unsigned()) return false;
-  max_tokens = token_count(field->get<std::uint64_t>());
+  const auto number = field->get<std::uint64_t>();
+  max_tokens = token_count(number);
   return max_tokens.get() > 0;
 }
 
--- a/src/gateway/dispatch_group.cc
+++ b/src/gateway/dispatch_group.cc
@@ -3,8 +3,30 @@
 #include <algorithm>
 
 namespace waxwingwing {
+namespace {
 
-dispatch_group::dispatch_group(kind type, std::string name,
+// A server that is dead is unroutable when its report is 2 s old; one that is routable after this
+// time has answered a poll again.
+constexpr milliseconds kDeadTime{3000};
+
+}  // namespace
+
+void placement_request::Exclude(const backend_view& view, bool dead, time_point now) {
+  const backend_run run(view.vm, view.incarnation);
+  failed.insert(run);
+  if (dead) dead_until[run] = now + kDeadTime;
+}
+
+dispatch_group::exclusion dispatch_group::ExclusionOf(const backend_view& view,
+                                                      const placement_request& request,
+                                                      time_point now) {
+  const backend_run run(view.vm, view.incarnation);
+  const auto dead = request.dead_until.find(run);
+  if (dead != request.dead_until.end() && now < dead->second) return exclusion::kDead;
+  return request.failed.contains(run) ? exclusion::kFailed : exclusion::kNone;
+}
+
+dispatch_group::dispatch_group(kind type, const std::string& name,
                                const snapshot_cell<routing_snapshot>& snapshots,
                                std::unique_ptr<replica_selector> selector)
     : type_(type),
@@ -22,26 +44,26 @@
   const std::vector<backend_view>& backends = Backends(*snapshot);
   const selection_input input{backends, snapshot->own_domain, request.prefix_hash, now};
   const std::vector<std::size_t> order = selector_->Rank(input);
-  if (TryBackends(backends, order, request, false, placement)) return placing::kPlaced;
+  const auto try_level = [&](exclusion level) {
+    return TryBackends(backends, order, request, level, placement, now);
+  };
+  if (try_level(exclusion::kNone)) return placing::kPlaced;
   const bool others = std::any_of(order.begin(), order.end(), [&](std::size_t index) {
-    const backend_run run(backends[index].vm, backends[index].incarnation);
-    return !request.failed.contains(run) && !request.dead.contains(run);
+    return ExclusionOf(backends[index], request, now) == exclusion::kNone;
   });
   // A server that failed this request is used again only when waiting for another has no prospect.
-  if (!others && TryBackends(backends, order, request, true, placement)) return placing::kPlaced;
+  if (!others && try_level(exclusion::kFailed)) return placing::kPlaced;
   return placing::kNoRoom;
 }
 
 bool dispatch_group::TryBackends(const std::vector<backend_view>& backends,
                                  const std::vector<std::size_t>& order,
-                                 const placement_request& request, bool use_failed,
-                                 std::unique_ptr<backend_placement>& placement) {
+                                 const placement_request& request, exclusion level,
+                                 std::unique_ptr<backend_placement>& placement, time_point now) {
   for (const std::size_t index : order) {
     const backend_view& view = backends[index];
     if (!view.routable || view.budget == nullptr) continue;
-    const backend_run run(view.vm, view.incarnation);
-    if (request.dead.contains(run)) continue;
-    if (request.failed.contains(run) != use_failed) continue;
+    if (ExclusionOf(view, request, now) != level) continue;
     auto ticket = admission_ticket::TryAcquire(view.budget, request.kv_cost);
     if (!ticket) continue;
     placement = std::make_unique<backend_placement>(backend_placement{view, std::move(*ticket)});
--- a/src/gateway/dispatch_group.h
+++ b/src/gateway/dispatch_group.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -22,10 +23,13 @@
 struct placement_request {
   token_count kv_cost;
   std::uint64_t prefix_hash = 0;
-  /// Never used again by this request.
-  std::set<backend_run> dead;
+  /// Not used by this request until then; later as one of `failed`.
+  std::map<backend_run, time_point> dead_until;
   /// Used again only when there is no other.
   std::set<backend_run> failed;
+
+  /// Excludes a backend server after a failed attempt; `dead` when it did not answer at all.
+  void Exclude(const backend_view& view, bool dead, time_point now);
 };
 
 /// A selected backend server with the permit to send it one request.
@@ -42,7 +46,8 @@
  public:
   enum class kind { kModelGroup, kService };
 
-  dispatch_group(kind type, std::string name, const snapshot_cell<routing_snapshot>& snapshots,
+  dispatch_group(kind type, const std::string& name,
+                 const snapshot_cell<routing_snapshot>& snapshots,
                  std::unique_ptr<replica_selector> selector);
   dispatch_group(const dispatch_group&) = delete;
   dispatch_group& operator=(const dispatch_group&) = delete;
@@ -63,9 +68,13 @@
   bool TakeReportTurn(time_point now, duration interval);
 
  private:
+  enum class exclusion { kNone, kFailed, kDead };
+
   bool TryBackends(const std::vector<backend_view>& backends, const std::vector<std::size_t>& order,
-                   const placement_request& request, bool use_failed,
-                   std::unique_ptr<backend_placement>& placement);
+                   const placement_request& request, exclusion level,
+                   std::unique_ptr<backend_placement>& placement, time_point now);
+  static exclusion ExclusionOf(const backend_view& view, const placement_request& request,
+                               time_point now);
 
   kind type_;
   model_group_id model_group_;
--- a/src/gateway/engine_attempt.cc
+++ b/src/gateway/engine_attempt.cc
@@ -157,6 +157,7 @@
     if (pushed == push_result::kStalled) co_return Ended(attempt_end::kind::kStalled);
     if (pushed == push_result::kCallerGone) co_return Ended(attempt_end::kind::kCallerGone);
     if (pushed == push_result::kTooLarge) co_return Ended(attempt_end::kind::kTooLarge);
+    if (pushed == push_result::kNoRoom) co_return Ended(attempt_end::kind::kNoRoom);
     untaken_ = token_count(0);
     ObserveToken();
   }
--- a/src/gateway/engine_attempt.h
+++ b/src/gateway/engine_attempt.h
@@ -14,7 +14,7 @@
 
 /// How one attempt ended.
 struct attempt_end {
-  enum class kind { kComplete, kFailed, kStalled, kCallerGone, kTooLarge };
+  enum class kind { kComplete, kFailed, kStalled, kCallerGone, kTooLarge, kNoRoom };
 
   kind outcome = kind::kComplete;
   /// Set for `kFailed`.
--- a/src/gateway/engine_relay.cc
+++ b/src/gateway/engine_relay.cc
@@ -39,6 +39,10 @@
     again = co_await AfterFailure(end.failure);
   } else if (end.outcome == kind::kTooLarge) {
     co_await Fail({"answer_too_large", "the answer exceeds the limit; stream it instead"});
+  } else if (end.outcome == kind::kNoRoom) {
+    const milliseconds after(1000);
+    co_await Fail({"buffer_full", "there is no room to collect the answer; stream it instead",
+                   attempt_truth::kUnknown, after});
   } else {
     Abandon();
   }
@@ -108,12 +112,10 @@
 }
 
 void engine_relay::Exclude(attempt_failure failure) {
-  const backend_view& view = context_.placement->view;
-  const backend_run run(view.vm, view.incarnation);
   const bool dead =
       failure == attempt_failure::kServerDead || failure == attempt_failure::kConnectFailed;
-  auto& runs = dead ? context_.placement_input.dead : context_.placement_input.failed;
-  runs.insert(run);
+  const time_point now = std::chrono::steady_clock::now();
+  context_.placement_input.Exclude(context_.placement->view, dead, now);
 }
 
 }  // namespace waxwingwing
--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -20,9 +20,10 @@
       first_token_(registry.Summary("waxwingwing_first_token_seconds")),
       token_gap_(registry.Summary("waxwingwing_inter_token_seconds")) {}
 
-void gateway_metrics::CountRequest(const organisation_id& organisation, std::string_view target) {
+void gateway_metrics::CountRequest(const organisation_id& organisation, std::string_view kind,
+                                   std::string_view name) {
   const metric_labels labels = {{"organisation", organisation.str()},
-                                {"target", std::string(target)}};
+                                {std::string(kind), std::string(name)}};
   registry_.Counter("waxwingwing_requests_total", labels).Increment();
 }
 
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -13,8 +13,9 @@
  public:
   explicit gateway_metrics(metrics_registry& registry);
 
-  /// `target` is the model group or service.
-  void CountRequest(const organisation_id& organisation, std::string_view target);
+  /// `kind` is `model` or `service`.
+  void CountRequest(const organisation_id& organisation, std::string_view kind,
+                    std::string_view name);
   void CountRefusal(std::string_view reason);
   void CountRetry(std::string_view reason);
   /// A response, or an event of one, that does not belong to the attempt.
--- a/src/gateway/gateway_server.cc
+++ b/src/gateway/gateway_server.cc
@@ -88,8 +88,9 @@
   std::unique_ptr<listener> listener_;
 };
 
-gateway_server::gateway_server(gateway_settings settings, const gateway_dependencies& dependencies)
-    : implementation_(std::make_unique<implementation>(std::move(settings), dependencies)) {}
+gateway_server::gateway_server(const gateway_settings& settings,
+                               const gateway_dependencies& dependencies)
+    : implementation_(std::make_unique<implementation>(settings, dependencies)) {}
 
 gateway_server::~gateway_server() = default;
 
--- a/src/gateway/identify_filter.cc
+++ b/src/gateway/identify_filter.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 
 #include "gateway/chat_request.h"
+#include "waxwingwing/core/hash.h"
 
 namespace waxwingwing {
 namespace {
@@ -68,7 +69,7 @@
   context.engine_body = std::move(parsed->engine_body);
   // The caller's own text is not needed any more and may be as large as 1 MiB.
   std::string().swap(context.parser.get().body());
-  context.core.metrics.CountRequest(context.organisation->id, parsed->model);
+  context.core.metrics.CountRequest(context.organisation->id, "model", parsed->model);
   return filter_step::kNext;
 }
 
@@ -84,11 +85,13 @@
   context.service = &found->second.value;
   context.key_may_be_used = context.key_may_be_used && !context.service->repeatable;
   context.group = context.core.groups.Find(dispatch_group::kind::kService, name);
+  // Calls of a service share no prompt, so they are spread.
+  context.placement_input.prefix_hash = StableHash(context.id.str());
   std::string target;
   if (end != std::string_view::npos) target = rest.substr(end);
   if (target.empty() || target.front() != '/') target.insert(target.begin(), '/');
   context.service_target = std::move(target);
-  context.core.metrics.CountRequest(context.organisation->id, name);
+  context.core.metrics.CountRequest(context.organisation->id, "service", name);
   return filter_step::kNext;
 }
 
--- a/src/gateway/own_endpoints.cc
+++ b/src/gateway/own_endpoints.cc
@@ -43,7 +43,8 @@
   } else if (path == kNotes && request.method() == http::verb::post) {
     control.SubmitReleaseNote(std::move(request.body()), std::move(done));
   } else if (path.starts_with(notes_prefix) && get) {
-    const note_id note{std::string(path.substr(notes_prefix.size()))};
+    std::string name(path.substr(notes_prefix.size()));
+    const note_id note(std::move(name));
     control.GetReleaseNote(note, std::move(done));
   } else {
     return false;
--- a/src/gateway/placer.cc
+++ b/src/gateway/placer.cc
@@ -66,8 +66,10 @@
   const auto state = std::make_shared<wait_state>(context.executor());
   const time_point now = std::chrono::steady_clock::now();
   admission_queue& queue = context.group->queue();
-  const admission_queue::waiter waiter{context.organisation, context.placement_input.kv_cost,
-                                       deadline, MakeTryPlace(context, state)};
+  // A call to a plain service takes no KV tokens, but a turn in the queue.
+  const token_count cost = std::max(context.placement_input.kv_cost, token_count(1));
+  const admission_queue::waiter waiter{context.organisation, cost, deadline,
+                                       MakeTryPlace(context, state)};
   const auto admission = queue.Admit(waiter, now);
   if (admission.result == verdict::kPlaced) co_return TakeResult(context, *state);
   ReportUnmetDemand(context, now);
--- a/src/gateway/service_relay.cc
+++ b/src/gateway/service_relay.cc
@@ -1,5 +1,7 @@
 #include "gateway/service_relay.h"
 
+#include <chrono>
+
 #include "gateway/backend_calls.h"
 #include "gateway/placer.h"
 
@@ -63,7 +65,7 @@
   const backend_view& view = context_.placement->view;
   error_code error =
       co_await connection.Connect(view.address, settings.socket_buffer, settings.connect_timeout);
-  if (error) co_return Failed(error, view);
+  if (error) co_return co_await Failed(error, view, false);
   byte_may_be_sent_ = true;
   if (context_.claim != nullptr) context_.claim->SetSent();
   const service_request request = MakeRequest(context_, view);
@@ -80,21 +82,23 @@
     connection.stream().expires_after(settings.first_byte_timeout);
     co_await http::async_read(connection.stream(), connection.buffer(), parser, StoreError(error));
   }
-  if (error) co_return Failed(error, view);
+  if (error) co_return co_await Failed(error, view, true);
   TakeAnswer(parser.get());
   co_return call_end{true};
 }
 
-service_relay::call_end service_relay::Failed(const error_code& error,
-                                              const backend_view& view) const {
-  if (MayInterrupt() && context_.caller->gone()) return {false, attempt_failure::kNoAnswer};
-  const bool connected = error != asio::error::connection_refused;
-  if (!byte_may_be_sent_ || !connected || IsReset(error)) {
-    context_.core.control.ReportBackendFailure(view.vm, view.incarnation);
-  }
-  if (!byte_may_be_sent_) return {false, attempt_failure::kConnectFailed};
-  if (error == beast::error::timeout) return {false, attempt_failure::kFirstByteTimeout};
-  return {false, attempt_failure::kNoAnswer};
+awaitable<service_relay::call_end> service_relay::Failed(error_code error, const backend_view& view,
+                                                         bool sent) {
+  control_access& control = context_.core.control;
+  if (MayInterrupt() && context_.caller->gone()) co_return call_end{};
+  if (!sent || IsReset(error)) control.ReportBackendFailure(view.vm, view.incarnation);
+  if (!sent) co_return call_end{false, attempt_failure::kConnectFailed};
+  if (error != beast::error::timeout) co_return call_end{false, attempt_failure::kNoAnswer};
+  const auto identity =
+      co_await ProbeBackend(context_.executor(), context_.core.settings, view.address);
+  if (identity) co_return call_end{false, attempt_failure::kFirstByteTimeout};
+  control.ReportBackendFailure(view.vm, view.incarnation);
+  co_return call_end{false, attempt_failure::kServerDead};
 }
 
 void service_relay::TakeAnswer(http::response<http::string_body>& response) {
@@ -133,10 +137,10 @@
   }
   ++retries_;
   context_.core.metrics.CountRetry(ToText(failure));
-  const backend_run run(context_.placement->view.vm, context_.placement->view.incarnation);
-  const bool dead = failure == attempt_failure::kConnectFailed;
-  auto& runs = dead ? context_.placement_input.dead : context_.placement_input.failed;
-  runs.insert(run);
+  const bool dead =
+      failure == attempt_failure::kConnectFailed || failure == attempt_failure::kServerDead;
+  const time_point now = std::chrono::steady_clock::now();
+  context_.placement_input.Exclude(context_.placement->view, dead, now);
   context_.ReleasePlacement();
   const placement_outcome outcome = co_await WaitForPlacement(context_, context_.deadline);
   if (outcome.status == placement_status::kPlaced) co_return true;
--- a/src/gateway/service_relay.h
+++ b/src/gateway/service_relay.h
@@ -22,7 +22,8 @@
 
   awaitable<call_end> RunAttempt();
   awaitable<call_end> Exchange(backend_connection& connection);
-  call_end Failed(const error_code& error, const backend_view& view) const;
+  /// `sent` tells whether this attempt may have sent a byte.
+  awaitable<call_end> Failed(error_code error, const backend_view& view, bool sent);
   void TakeAnswer(http::response<http::string_body>& response);
   void RecordOutcome();
   /// Whether another attempt follows; `context_.placement` is then set.
--- a/src/streaming/relay_buffer.cc
+++ b/src/streaming/relay_buffer.cc
@@ -22,6 +22,13 @@
   return true;
 }
 
+bool relay_buffer::HasRoom(byte_count bytes) const {
+  if (size() + bytes > limit_) return false;
+  if (!account_->TryReserve(bytes)) return false;
+  account_->Release(bytes);
+  return true;
+}
+
 const std::string& relay_buffer::BeginWrite() {
   assert(writing_.empty());
   std::swap(waiting_, writing_);
--- a/tests/unit/event_parser_test.cc
+++ b/tests/unit/event_parser_test.cc
@@ -64,7 +64,7 @@
 }
 
 std::string RandomStream(random_source& random, std::vector<server_event>& expected) {
-  constexpr std::string_view kLineEnds[] = {"\n", "\r\n", "\r"};
+  static constexpr std::string_view kLineEnds[] = {"\n", "\r\n", "\r"};
   std::string text;
   const std::uint64_t count = random.Below(20);
   for (std::uint64_t i = 0; i < count; ++i) {
@@ -105,8 +105,8 @@
 }
 
 TEST_CASE("random bytes never yield an event above the limit", "[streaming][fuzz]") {
-  constexpr std::string_view kAlphabet("data: ev\r\n\n:x\0\xff", 15);
-  constexpr std::size_t kLimit = 32;
+  static constexpr std::string_view kAlphabet("data: ev\r\n\n:x\0\xff", 15);
+  static constexpr std::size_t kLimit = 32;
   for (std::uint64_t seed = 1; seed <= 500; ++seed) {
     CAPTURE(seed);
     random_source random(seed);
--- a/tests/unit/gateway_chat_test.cc
+++ b/tests/unit/gateway_chat_test.cc
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "gateway/dispatch_group.h"
 #include "tests/unit/support/gateway_fixture.h"
 
 namespace waxwingwing::testing {
@@ -127,8 +129,8 @@
 }
 
 TEST_CASE("a slow caller holds a bounded buffer and no ticket, and gets all tokens", "[gateway]") {
-  constexpr std::uint64_t kTokens = 2000;
-  constexpr std::size_t kTokenSize = 400;
+  static constexpr std::uint64_t kTokens = 2000;
+  static constexpr std::size_t kTokenSize = 400;
   fake_backend engine;
   engine.SetTokenSize(kTokenSize);
   gateway_fixture fixture;
@@ -198,6 +200,43 @@
   REQUIRE(engine.Calls().empty());
 }
 
+TEST_CASE("an outdated snapshot sends nothing", "[gateway]") {
+  // The process was paused, so its credits may have expired.
+  fake_backend engine;
+  gateway_fixture fixture;
+  fixture.AddBackend("vm-1", engine.address());
+  fixture.Change([](routing_snapshot& snapshot) {
+    snapshot.published_at = std::chrono::steady_clock::now() - 2 * kSnapshotLifetime;
+  });
+  fixture.Start();
+  REQUIRE(CodeOf(fixture.Post(kChat, ChatBody(4, true))) == "control_state_stale");
+  REQUIRE(engine.Calls().empty());
+}
+
+TEST_CASE("a server that refused a connection is used again after a time", "[gateway]") {
+  // Without an end of the exclusion, a request would wait in front of its queue until its deadline
+  // although the only backend server answers again.
+  const snapshot_cell<routing_snapshot> cell([] {
+    auto snapshot = std::make_shared<routing_snapshot>();
+    backend_view view;
+    view.vm = vm_id("vm-1");
+    view.routable = true;
+    view.budget = std::make_shared<backend_budget>();
+    view.budget->SetLimits(request_count(1), token_count(1));
+    snapshot->replicas[model_group_id("model")].push_back(view);
+    return snapshot;
+  }());
+  dispatch_group group(dispatch_group::kind::kModelGroup, "model", cell,
+                       std::move(*MakeReplicaSelector("least_loaded")));
+  const time_point now{};
+  placement_request request;
+  request.dead_until[{vm_id("vm-1"), incarnation(0)}] = now + milliseconds(5);
+  std::unique_ptr<backend_placement> placement;
+  using placing = dispatch_group::placing;
+  REQUIRE(group.TryPlace(request, placement, now) == placing::kNoRoom);
+  REQUIRE(group.TryPlace(request, placement, now + milliseconds(6)) == placing::kPlaced);
+}
+
 TEST_CASE("room of a finished request goes to a waiting one", "[gateway]") {
   fake_backend engine;
   gateway_fixture fixture;
--- a/tests/unit/relay_buffer_test.cc
+++ b/tests/unit/relay_buffer_test.cc
@@ -64,10 +64,11 @@
 }
 
 TEST_CASE("threads together never pass an account's limit", "[streaming]") {
-  constexpr std::uint64_t kLimit = 5;
+  static constexpr std::uint64_t kLimit = 5;
   const auto process = MakeAccount(kLimit);
   std::atomic<bool> exceeded{false};
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int i = 0; i < 4; ++i) {
     threads.emplace_back([&] {
       const auto account = MakeAccount(100, process);
