--- a/stand_ins/engine.h
+++ b/stand_ins/engine.h
@@ -58,6 +58,8 @@
   /// Ends a request from outside its own coroutine.
   void Stop(engine_request& request, const std::string& how);
   void StopAll(const std::string& how);
+  /// Frees what the request holds.
+  void Free(engine_request& request);
 
   void StartIncarnation(const std::string& cause);
   json Status();
--- a/stand_ins/engine_request.h
+++ b/stand_ins/engine_request.h
@@ -30,6 +30,8 @@
   std::uint64_t first_token = 0;
   std::uint64_t max_tokens = 0;
   std::uint64_t kv_tokens = 0;
+  /// Whether the engine counts the request as held.
+  bool held = false;
   bool stream = false;
   half_way fault = half_way::kNothing;
   std::size_t record = 0;
