admission: free each credit grant at its own end

Cause: the ledger kept one "earlier" grant per node and moved its end with every later grant, also with grants of nothing. A peak therefore stayed reserved for as long as the node reported, and for 10 minutes after a node had gone idle and stopped reporting. Entry VMs of a domain that is out live on credits alone and starved.

Change: the ledger keeps the grants that may still be in use with an end each, and a node goes on reporting for 4 s after its last need, so that the grantor hears of it after the end of the last grant.

Ruled out: the reports alone (without the ledger change the integration test failed as before).

--- a/include/waxwingwing/admission/credit_ledger.h
+++ b/include/waxwingwing/admission/credit_ledger.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <vector>
 
 #include "waxwingwing/admission/backend_limits.h"
 #include "waxwingwing/core/clock.h"
@@ -51,18 +52,22 @@
   incarnation server() const { return incarnation_; }
 
  private:
+  struct grant {
+    backend_amount amount;
+    time_point until{};
+  };
+
   struct node_account {
-    backend_amount granted;
-    time_point granted_until{};
-    /// Earlier grants that the node may still go by, when the answer with the newest was lost.
-    backend_amount earlier;
-    time_point earlier_until{};
+    /// The newest grant, last, and earlier ones that the node may still go by when the answer with
+    /// the newest was lost. Each ends on its own, so that a peak is not held by later, smaller
+    /// ones.
+    std::vector<grant> grants;
     backend_amount used;
     backend_amount wanted;
     time_point reported_at{};
 
     backend_amount Reserved(time_point now) const;
-    void KeepEarlierGrants(time_point now);
+    void DropEndedGrants(time_point now);
   };
 
   backend_amount FairShare(const vm_id& node, backend_amount wanted, time_point now) const;
--- a/src/admission/credit_ledger.cc
+++ b/src/admission/credit_ledger.cc
@@ -33,18 +33,15 @@
 
 backend_amount credit_ledger::node_account::Reserved(time_point now) const {
   // Grants count beyond their end until the next report: the node may have filled them just before.
-  const bool may_hold = now < std::max(granted_until, earlier_until) + kLongestRequest;
-  return may_hold ? Max(used, Max(granted, earlier)) : backend_amount{};
+  const time_point last_end = grants.empty() ? reported_at : grants.back().until;
+  if (now >= last_end + kLongestRequest) return {};
+  backend_amount reserved = used;
+  for (const grant& item : grants) reserved = Max(reserved, item.amount);
+  return reserved;
 }
 
-void credit_ledger::node_account::KeepEarlierGrants(time_point now) {
-  if (now >= earlier_until) earlier = {};
-  if (now < granted_until) {
-    earlier = Max(earlier, granted);
-    earlier_until = std::max(earlier_until, granted_until);
-  }
-  granted = {};
-  granted_until = now;
+void credit_ledger::node_account::DropEndedGrants(time_point now) {
+  std::erase_if(grants, [now](const grant& item) { return now >= item.until; });
 }
 
 void credit_ledger::SetPool(generation member_generation, incarnation server, backend_amount pool) {
@@ -84,11 +81,11 @@
   if (now < grants_from_) return {};
 
   const backend_amount share = FairShare(node, wanted, now);
-  account.KeepEarlierGrants(now);
+  account.DropEndedGrants(now);
   const backend_amount others = Remainder(Reserved(now), account.Reserved(now));
-  account.granted = Min(share, Remainder(pool_, Sum(others, UnreportedHold(now))));
-  account.granted_until = now + kGrantHold;
-  return account.granted;
+  const backend_amount granted = Min(share, Remainder(pool_, Sum(others, UnreportedHold(now))));
+  account.grants.push_back({granted, now + kGrantHold});
+  return granted;
 }
 
 void credit_ledger::ForgetNode(const vm_id& node) {
--- a/src/daemon/budget_table.h
+++ b/src/daemon/budget_table.h
@@ -20,6 +20,8 @@
     backend_amount static_share;
     /// Requests for which credits were asked last.
     std::uint32_t wanted = 0;
+    /// When credits were last asked for or used.
+    time_point last_need{};
     bool listed = true;
   };
 
--- a/src/daemon/credit_controller.cc
+++ b/src/daemon/credit_controller.cc
@@ -17,6 +17,10 @@
 constexpr milliseconds kShortAskInterval{100};
 /// Requests asked for beyond the present use when one found no room.
 constexpr std::uint32_t kDemandStep = 2;
+/// How long an idle node goes on reporting its use. The grantor frees an earlier grant only on a
+/// report that comes after its end, which by the grantor's clock is up to 3.1 s after the last
+/// need; the rest lets two reports be lost.
+constexpr milliseconds kReportAfterNeed = kCreditTimeToLive + milliseconds(1000);
 
 }  // namespace
 
@@ -64,10 +68,13 @@
   message.failure_domain = domain;
   for (const backend_unit& unit : catalog_.units()) {
     if (unit.failure_domain != domain) continue;
-    const std::uint32_t wanted_before = budgets_.Get(unit.key).wanted;
+    budget_table::entry& item = budgets_.Get(unit.key);
+    const std::uint32_t wanted_before = item.wanted;
     credit_wish_message wish = WishFor(unit);
     const bool idle = wish.wanted_requests.get() == 0 && wish.used_requests.get() == 0;
-    if (tell_all || !idle || wanted_before > 0) message.wishes.push_back(std::move(wish));
+    if (!idle || wanted_before > 0) item.last_need = now;
+    const bool recent = now < item.last_need + kReportAfterNeed;
+    if (tell_all || recent) message.wishes.push_back(std::move(wish));
   }
   if (message.wishes.empty()) return;
   sent.request = message.request;
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -133,6 +133,21 @@
   time_point now_ = manual_clock().Now();
 };
 
+TEST_CASE("a grant is free for others once it has ended, also when smaller ones follow",
+          "[admission]") {
+  // Guards against later grants that prolong the reservation of an earlier, larger one.
+  credit_ledger ledger;
+  ledger.SetPool(generation(1), incarnation(7), Amount(8, 8000));
+  time_point now = manual_clock().Now();
+  CHECK(ledger.Grant(vm_id("one"), Amount(8, 8000), {}, now).requests.get() == 8);
+  for (int report = 0; report < 16; ++report) {
+    now += milliseconds(250);
+    ledger.Grant(vm_id("one"), {}, {}, now);
+  }
+  CHECK(ledger.Reserved(now).requests.get() == 0);
+  CHECK(ledger.Grant(vm_id("two"), Amount(8, 8000), {}, now).requests.get() == 8);
+}
+
 TEST_CASE("credits in use never pass the pool, whatever is lost and whoever grants",
           "[admission]") {
   // Guards against a takeover or a lost grant that lets two sets of credits be used at once.
