--- a/tests/integration/deployment.h
+++ b/tests/integration/deployment.h
@@ -57,6 +57,8 @@
   child_process& weight_store() { return *weight_store_; }
   /// The VM list of the entry VMs that have none of their own.
   child_process& vm_list() { return shared_view_->vm_list(); }
+  /// The VM list that an entry VM reads.
+  child_process& VmListOf(const std::string& entry_vm) { return ViewOf(entry_vm).vm_list(); }
   /// The running process of a VM; throws std::out_of_range for an unknown id.
   child_process& vm(const std::string& id) { return *runs_.at(id).back().process; }
   /// Ids of a role (`engine`, `service` or `entry`), in order; of all domains when none is given.
