--- a/bench/bench_control.cc
+++ b/bench/bench_control.cc
@@ -96,6 +96,7 @@
 /// together and only one of them can be fitted.
 linear_fit FitOf(const std::vector<measured_point>& points, const quantity& item) {
   std::vector<observation> observations;
+  observations.reserve(points.size());
   for (const measured_point& point : points) {
     observations.push_back(
         {{static_cast<double>(point.size.entry_vms()), static_cast<double>(point.size.engines())},
--- a/bench/control_measurement.cc
+++ b/bench/control_measurement.cc
@@ -123,7 +123,7 @@
 }
 
 std::string control_measurement::PublishNote() {
-  const std::string id = "bench-note-" + std::to_string(++notes_);
+  std::string id = "bench-note-" + std::to_string(++notes_);
   const json acme = {
       {"id", "acme"}, {"priority", 5}, {"share", 1 + notes_ % 2}, {"max_queue", 256}};
   const json note = {{"note_id", id},
