cli: give clear texts when entry VMs do not answer

Change: `apply` without an answer says to publish again under the same note_id; each fault is printed once; the last answer before the time limit decides the exit code.

Ruled out: a retry inside `apply` after an unanswered request, which would hide from the operator that the log is slow.

--- a/src/cli/admin_client.cc
+++ b/src/cli/admin_client.cc
@@ -33,8 +33,7 @@
 void admin_client::Pause() const { std::this_thread::sleep_for(kPollInterval); }
 
 void admin_client::PrintFault(const std::string& fault) {
-  if (fault == last_fault_) return;
-  last_fault_ = fault;
+  if (!printed_faults_.insert(fault).second) return;
   err_ << fault << "\n";
 }
 
--- a/src/cli/admin_client.h
+++ b/src/cli/admin_client.h
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <ostream>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -45,8 +46,8 @@
   std::vector<std::string> addresses_;
   time_point deadline_;
   std::ostream& err_;
-  /// Not printed again while polling repeats it.
-  std::string last_fault_;
+  /// Not printed again when polling repeats them.
+  std::set<std::string> printed_faults_;
 };
 
 }  // namespace waxwingwing
--- a/src/cli/operator_command.cc
+++ b/src/cli/operator_command.cc
@@ -6,6 +6,7 @@
 #include <iterator>
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include "cli/admin_client.h"
 #include "cli/operator_arguments.h"
@@ -127,14 +128,21 @@
     const std::string id = TextMember(note, "note_id");
     const std::string target = std::string(kNotesTarget) + "/" + id;
     auto reply = client_.Ask("POST", kNotesTarget, PrintJson(note));
-    if (!reply) return operator_exit::kUnreachable;
+    if (!reply) {
+      // A request without an answer may have been appended to the log.
+      err_ << "release note " << id
+           << " may have been published; publish it again with the same note_id\n";
+      return operator_exit::kUnreachable;
+    }
     for (;;) {
       if (reply && IsRejection(*reply)) return Rejected(id, reply->body);
       const bool accepted = reply && TextMember(reply->body, "state") == "accepted";
       if (accepted && (!wait_in_force || IsInForce(reply->body))) return Done(id, reply->body);
       if (client_.TimeIsUp()) return NotConfirmed(id, reply);
       client_.Pause();
-      reply = client_.Ask("GET", target);
+      auto next = client_.Ask("GET", target);
+      // A poll that the time limit cut short says nothing about the entry VMs.
+      if (next || !client_.TimeIsUp()) reply = std::move(next);
     }
   }
 
--- a/tests/unit/operator_command_test.cc
+++ b/tests/unit/operator_command_test.cc
@@ -215,6 +215,32 @@
   CHECK(err.str().empty());
 }
 
+// Guards against an operator who gives the note a new id and so publishes it twice.
+TEST_CASE("apply without an answer tells to publish under the same id", "[cli]") {
+  cli_fixture test;
+  const std::string file = test.NoteFile(R"({"note_id":"n"})");
+  std::ostringstream out;
+  std::ostringstream err;
+  const std::string flag = std::string("--entry_address=") + kRefusedAddress;
+  REQUIRE(RunOperatorCommand({"apply", file, flag}, out, err) == 4);
+  CHECK(Contains(err, "release note n may have been published"));
+  CHECK(Contains(err, "the same note_id"));
+}
+
+// Guards against a screen full of alternating faults while a command polls.
+TEST_CASE("the fault of an entry VM is printed once", "[cli]") {
+  cli_fixture test;
+  for (int i = 0; i < 5; ++i) test.Add({.body = kAccepted});
+  const std::string file = test.NoteFile(R"({"note_id":"n"})");
+  const std::string more = std::string(kRefusedAddress) + ",127.0.0.2:0,";
+  REQUIRE(test.Run({"apply", file, "--wait_in_force", "--timeout_ms=300"}, more) == 3);
+  const std::string text = test.err.str();
+  const std::string fault = std::string(kRefusedAddress) + ": connecting";
+  const std::size_t first = text.find(fault);
+  REQUIRE(first != std::string::npos);
+  CHECK(text.find(fault, first + 1) == std::string::npos);
+}
+
 TEST_CASE("wrong usage reports all faults and gives exit code 2", "[cli]") {
   std::ostringstream out;
   std::ostringstream err;
