--- a/tests/unit/engine_stream_test.cc
+++ b/tests/unit/engine_stream_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "tests/unit/mutation.h"
+
 namespace waxwingwing {
 namespace {
 
@@ -93,5 +95,25 @@
   REQUIRE(ToText(drop_reason::kEventTooLarge) == "event_too_large");
 }
 
+TEST_CASE("a mutated event is taken only as the next token of the attempt", "[streaming][fuzz]") {
+  random_source random(20240703);
+  std::uint64_t taken = 0;
+  for (int run = 0; run < 30000; ++run) {
+    const std::uint64_t first = random.Below(3);
+    engine_stream stream = MakeStream(first);
+    server_event event = Token("r", "a", 1);
+    event.data = Mutate(event.data, random);
+    CAPTURE(run, event.data);
+    const engine_stream::event_result result = stream.Accept(event);
+    const bool token = result.outcome == verdict::kToken;
+    taken += token ? 1 : 0;
+    REQUIRE(stream.next_index() == token_count(first + (token ? 1 : 0)));
+    REQUIRE((result.reason == drop_reason::kNone) == token);
+    REQUIRE(stream.usable() == (result.outcome != verdict::kUnusable));
+    REQUIRE_FALSE(stream.complete());
+  }
+  CHECK(taken > 100);
+}
+
 }  // namespace
 }  // namespace waxwingwing
--- a/tests/unit/idempotency_test.cc
+++ b/tests/unit/idempotency_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "tests/unit/mutation.h"
 #include "waxwingwing/core/random_source.h"
 #include "waxwingwing/idempotency/claim_decision.h"
 #include "waxwingwing/idempotency/claim_index.h"
@@ -226,5 +227,30 @@
           claims_apply_result::kWrongOffset);
 }
 
+TEST_CASE("a mutated claims record never stops the index", "[idempotency][fuzz]") {
+  random_source random(20240704);
+  claims_log log;
+  std::uint64_t applied = 0;
+  for (std::uint64_t run = 0; run < 30000; ++run) {
+    claims_record record{log.index.next_offset(), {}};
+    const std::string claim = std::to_string(random.Below(50));
+    record.entries.emplace_back(Claim(claim.c_str(), "k" + claim));
+    record.entries.emplace_back(
+        outcome_entry{append_id(claim), recorded_outcome{200, "text/plain", "\xff body"}});
+    record.entries.emplace_back(release_entry{append_id(claim)});
+    const std::string payload = Mutate(EncodeClaimsRecord(record), random);
+    CAPTURE(run, payload);
+    const append_id id("append-" + std::to_string(run));
+    const auto result = log.index.Apply(log_offset(run), id, payload, kStart).result;
+    REQUIRE((result == claims_apply_result::kApplied || result == claims_apply_result::kMalformed));
+    REQUIRE(log.index.next_offset() == log_offset(run + 1));
+    const auto read = DecodeClaimsRecord(payload);
+    if (!read) continue;
+    ++applied;
+    REQUIRE(DecodeClaimsRecord(EncodeClaimsRecord(*read)));
+  }
+  CHECK(applied > 100);
+}
+
 }  // namespace
 }  // namespace waxwingwing
