--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 export PATH := /usr/lib/ccache:$(PATH)
 
 .PHONY: all packages build test unit-test integration-test lint format-check tidy demo bench clean \
-        test-asan test-ubsan test-tsan
+        sanitized-unit-test test-asan test-ubsan test-tsan
 
 all: build
 
@@ -41,14 +41,20 @@
 bench: build
 	@bench/run_bench.sh $(BUILD)
 
+# Builds only what the unit tests need, with one sanitizer.
+sanitized-unit-test: packages
+	@cmake -G Ninja -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=Debug -DWAXWINGWING_SANITIZER=$(SANITIZER) >/dev/null
+	@ninja -C $(BUILD) -j $(JOBS) unit_tests
+	@$(BUILD)/tests/unit_tests
+
 test-asan:
-	@$(MAKE) --no-print-directory unit-test BUILD=build-asan SANITIZER=address BUILD_TYPE=Debug
+	@$(MAKE) --no-print-directory sanitized-unit-test BUILD=build-asan SANITIZER=address
 
 test-ubsan:
-	@$(MAKE) --no-print-directory unit-test BUILD=build-ubsan SANITIZER=undefined BUILD_TYPE=Debug
+	@$(MAKE) --no-print-directory sanitized-unit-test BUILD=build-ubsan SANITIZER=undefined
 
 test-tsan:
-	@$(MAKE) --no-print-directory unit-test BUILD=build-tsan SANITIZER=thread BUILD_TYPE=Debug
+	@$(MAKE) --no-print-directory sanitized-unit-test BUILD=build-tsan SANITIZER=thread
 
 clean:
 	@rm -rf build build-asan build-ubsan build-tsan
