tests: compare findings with a matcher

clang-tidy takes the comparison of a text with an empty literal for an emptiness check; the matcher prints the findings as before and is equally strict.

--- a/tests/integration/control_lease_test.cc
+++ b/tests/integration/control_lease_test.cc
@@ -42,7 +42,7 @@
   REQUIRE(WaitFor([&] { return scenario.Holder(holder) == other; }, kFewSeconds));
   REQUIRE(scenario.WaitForRepair(holder, second, 2, kRepairBound));
   scenario.Finish();
-  CHECK(CheckTermOverlap(running).ToText() == "");
+  CHECK_THAT(CheckTermOverlap(running).ToText(), Catch::Equals(""));
 }
 
 TEST_CASE("a paused lease holder sends no order in its successor's term", "[control][p2]") {
@@ -72,7 +72,7 @@
   scenario.CutPeers(holder, false);
   REQUIRE(scenario.WaitForRepair(holder, victim, 2, kRepairBound));
   scenario.Finish();
-  if (!check_fencing) CHECK(CheckTermOverlap(running).ToText() == "");
+  if (!check_fencing) CHECK_THAT(CheckTermOverlap(running).ToText(), Catch::Equals(""));
 }
 
 TEST_CASE("a lease holder that is cut off from the log sends no order after its term",
@@ -103,7 +103,7 @@
   SetFaults(running.log(), {{"outage", false}});
   REQUIRE(scenario.WaitForReplicas(entry, 2, kRepairBound + kOrdersOver));
   scenario.Finish();
-  CHECK(CheckTermOverlap(running).ToText() == "");
+  CHECK_THAT(CheckTermOverlap(running).ToText(), Catch::Equals(""));
 }
 
 TEST_CASE("in a log outage repair goes on where engines check fencing numbers", "[control][p2]") {
@@ -137,7 +137,7 @@
   REQUIRE(scenario.WaitForTakeover(holder));
   REQUIRE(scenario.WaitForRepair(other, victim, 2, kRepairBound));
   scenario.Finish(kPathDelay);
-  CHECK(CheckTermOverlap(running).ToText() == "");
+  CHECK_THAT(CheckTermOverlap(running).ToText(), Catch::Equals(""));
 }
 
 TEST_CASE("a takeover with delayed orders and lost answers puts no VM in two groups",
--- a/tests/integration/control_leaving_test.cc
+++ b/tests/integration/control_leaving_test.cc
@@ -21,7 +21,8 @@
   REQUIRE(scenario.WaitForReplicas(entry, 2, kFewSeconds));
   REQUIRE(WaitFor([&] { return scenario.traffic().whole() > served + 10; }, kFewSeconds));
   scenario.Finish();
-  CHECK(CheckNewWork(running.Records("engine"), {leaving}, over_us).ToText() == "");
+  CHECK_THAT(CheckNewWork(running.Records("engine"), {leaving}, over_us).ToText(),
+             Catch::Equals(""));
 }
 
 }  // namespace
--- a/tests/integration/control_scenario.cc
+++ b/tests/integration/control_scenario.cc
@@ -212,9 +212,9 @@
   partial_group_bounds bounds;
   bounds.silent_member += path_delay;
   bounds.vms_per_replica = {{"orders", 2}};
-  CHECK(CheckPartialGroups(engines, bounds).ToText() == "");
-  CHECK(CheckDoubleMembership(engines).ToText() == "");
-  CHECK(watch_.findings().ToText() == "");
+  CHECK_THAT(CheckPartialGroups(engines, bounds).ToText(), Catch::Equals(""));
+  CHECK_THAT(CheckDoubleMembership(engines).ToText(), Catch::Equals(""));
+  CHECK_THAT(watch_.findings().ToText(), Catch::Equals(""));
   CHECK(watch_.checked() > 0);
   CHECK(traffic_->wrong() == 0);
   CHECK(traffic_->whole() > 0);
