tests: follow the linter in the request tests

Change: comparisons use the constant `kNothing`, which still prints the findings; constants moved to the namespace. No check changed its meaning.

--- a/tests/integration/request_callers.h
+++ b/tests/integration/request_callers.h
@@ -15,6 +15,9 @@
 
 namespace waxwingwing::integration {
 
+/// What a check finds when all is well; a failed comparison with it prints the findings.
+inline const std::string kNothing;
+
 /// One call of the plain service through an entry VM.
 struct desk_call {
   /// `ip:port` of the entry VM for callers.
--- a/tests/integration/request_limits_test.cc
+++ b/tests/integration/request_limits_test.cc
@@ -105,13 +105,13 @@
   chat_callers callers(Load(running, 48));
   std::this_thread::sleep_for(milliseconds(9000));
   CheckUsed(running, callers, kMaxRequests - 2);
-  CHECK(Overloads(running) == "");
+  CHECK(Overloads(running) == kNothing);
   for (const std::string& engine : running.VmIds("engine")) {
     SetFaults(running.vm(engine), {{"turn_cold", true}});
   }
   std::this_thread::sleep_for(milliseconds(4000));
   callers.Stop();
-  CHECK(Overloads(running, kColdBound) == "");
+  CHECK(Overloads(running, kColdBound) == kNothing);
 }
 
 TEST_CASE("limits hold when the grantor of credits is killed", "[request][p3]") {
@@ -127,7 +127,7 @@
   std::this_thread::sleep_for(milliseconds(5000));
   CheckUsed(running, callers, kPeakBeforeFault);
   callers.Stop();
-  CHECK(Overloads(running) == "");
+  CHECK(Overloads(running) == kNothing);
 }
 
 TEST_CASE("limits hold when the grantor of credits is paused and resumes", "[request][p3]") {
@@ -146,7 +146,7 @@
   std::this_thread::sleep_for(milliseconds(1500));
   CheckUsed(running, callers, kPeakBeforeFault);
   callers.Stop();
-  CHECK(Overloads(running) == "");
+  CHECK(Overloads(running) == kNothing);
 }
 
 TEST_CASE("limits hold when the grantor of credits is cut off", "[request][p3]") {
@@ -170,7 +170,7 @@
   std::this_thread::sleep_for(milliseconds(5000));
   CheckUsed(running, callers, kPeakBeforeFault);
   callers.Stop();
-  CHECK(Overloads(running) == "");
+  CHECK(Overloads(running) == kNothing);
 }
 
 }  // namespace
--- a/tests/integration/request_once_test.cc
+++ b/tests/integration/request_once_test.cc
@@ -14,6 +14,8 @@
 using nlohmann::json;
 
 constexpr milliseconds kBound{10000};
+constexpr int kKeys = 12;
+constexpr int kCallersPerDomain = 4;
 const std::string kFirst = "abeokuta-entry-0";
 const std::string kSecond = "ifo-entry-0";
 
@@ -70,8 +72,6 @@
           "[request][p7]") {
   deployment running(TwoDomains(50));
   StartDesk(running, 2);
-  constexpr int kKeys = 12;
-  constexpr int kCallersPerDomain = 4;
   std::vector<std::vector<std::future<result<http_answer>>>> answers(kKeys);
   for (int key = 0; key < kKeys; ++key) {
     for (int caller = 0; caller < kCallersPerDomain; ++caller) {
@@ -91,7 +91,7 @@
       REQUIRE(answer->body == body);
     }
   }
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
   desk_call other = Call(running, kSecond, "same-0");
   other.body = R"({"confirm":2})";
   const auto reused = Send(other);
@@ -117,7 +117,7 @@
   REQUIRE(WaitFor(ready, kBound));
   RequireUnknown(Send(Call(running, kFirst, "killed")));
   RequireUnknown(Send(Call(running, kSecond, "killed")));
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 TEST_CASE("the key of a paused entry VM waits for its outcome and does not run again",
@@ -140,7 +140,7 @@
     RequireUnknown(answer);
     RequireUnknown(Send(Call(running, kSecond, "paused")));
   }
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 TEST_CASE("a claim that an entry VM learns to have won too late is released and runs once",
@@ -167,7 +167,7 @@
   };
   REQUIRE(WaitFor(runs, kBound));
   REQUIRE(ComesBackRecorded(running, kFirst, "late"));
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 TEST_CASE("a call whose connection to the service is cut does not run again", "[request][p7]") {
@@ -180,7 +180,7 @@
   }
   RequireUnknown(cut.get());
   RequireUnknown(Send(Call(running, kSecond, "cut")));
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 TEST_CASE("a call that finds every service dead is not run and its key stays free",
@@ -205,7 +205,7 @@
   };
   REQUIRE(WaitFor(runs, kBound));
   REQUIRE(ComesBackRecorded(running, kFirst, "free"));
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 TEST_CASE("a call whose answer the service or the path drops does not run again", "[request][p7]") {
@@ -224,7 +224,7 @@
   RequireUnknown(Send(Call(running, kFirst, "frozen")));
   REQUIRE(RunsOf(running, "frozen") == 1);
   RequireUnknown(Send(Call(running, kSecond, "frozen")));
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 TEST_CASE("calls that must not repeat are refused in a log outage and keep their outcomes",
@@ -254,7 +254,7 @@
     };
     REQUIRE(WaitFor(runs, kBound));
   }
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 TEST_CASE("lost answers of the log repeat no call and lose no outcome", "[request][p7]") {
@@ -273,7 +273,7 @@
     }
     REQUIRE(ComesBackRecorded(running, kFirst, key));
   }
-  REQUIRE(Faults(running) == "");
+  REQUIRE(Faults(running) == kNothing);
 }
 
 }  // namespace
--- a/tests/integration/request_refusal_test.cc
+++ b/tests/integration/request_refusal_test.cc
@@ -40,6 +40,7 @@
 
 std::vector<std::string> Addresses(deployment& running) {
   std::vector<std::string> addresses;
+  addresses.reserve(kEntries.size());
   for (const std::string& entry : kEntries) addresses.push_back(running.CallerAddress(entry));
   return addresses;
 }
@@ -79,10 +80,10 @@
   SetFaults(running.vm("ifo-engine-2"), {{"freeze", false}});
   const auto outcomes = callers.Stop();
   for (const auto& one : outcomes) {
-    REQUIRE(FaultOfAnswer(one.answer, one.text, load.max_tokens) == "");
+    REQUIRE(FaultOfAnswer(one.answer, one.text, load.max_tokens) == kNothing);
   }
   CHECK(CountNotRun(outcomes) > 0);
-  CHECK(CheckNotRun(running, outcomes).ToText() == "");
+  CHECK(CheckNotRun(running, outcomes).ToText() == kNothing);
 }
 
 TEST_CASE("service refusals that say not_run reached no service, under overload and faults",
@@ -128,7 +129,7 @@
   }
   CHECK(answered > 0);
   CHECK(not_run > 0);
-  CHECK(CheckRepeatedRuns(running.Records("service")).ToText() == "");
+  CHECK(CheckRepeatedRuns(running.Records("service")).ToText() == kNothing);
 }
 
 }  // namespace
--- a/tests/integration/request_slow_reader_test.cc
+++ b/tests/integration/request_slow_reader_test.cc
@@ -121,7 +121,7 @@
     CHECK(IsWhole(answer, TextOf(reader), kTokens));
   }
   CHECK(CountRequests(running).resumed >= kReadersThatResume);
-  CHECK(CheckOverload(running.Records("engine"), milliseconds(0)).ToText() == "");
+  CHECK(CheckOverload(running.Records("engine"), milliseconds(0)).ToText() == kNothing);
 }
 
 }  // namespace
--- a/tests/integration/request_whole_test.cc
+++ b/tests/integration/request_whole_test.cc
@@ -140,7 +140,7 @@
   running.Kill(leader);
   const stream_answer answer = stream.ReadAll();
   INFO(answer.raw.body << answer.failure);
-  REQUIRE(FaultOfAnswer(answer, text, kTokens) == "");
+  REQUIRE(FaultOfAnswer(answer, text, kTokens) == kNothing);
   REQUIRE(answer.error_event.has_value());
   REQUIRE_FALSE(answer.done);
   REQUIRE(AttemptOf(*answer.error_event) == "unknown");
@@ -168,13 +168,13 @@
   const auto outcomes = callers.Stop();
   std::size_t whole = 0;
   for (const auto& one : outcomes) {
-    REQUIRE(FaultOfAnswer(one.answer, one.text, load.max_tokens) == "");
+    REQUIRE(FaultOfAnswer(one.answer, one.text, load.max_tokens) == kNothing);
     if (one.whole) ++whole;
   }
   INFO(whole << " of " << outcomes.size() << " answers were whole");
   CHECK(whole > outcomes.size() / 2);
   CHECK(AnswersWithOtherIds(running) >= 1);
-  CHECK(CheckNotRun(running, outcomes).ToText() == "");
+  CHECK(CheckNotRun(running, outcomes).ToText() == kNothing);
 }
 
 }  // namespace
