--- a/src/daemon/control_loop.cc
+++ b/src/daemon/control_loop.cc
@@ -27,7 +27,7 @@
 constexpr milliseconds kAppendRetry{200};
 constexpr std::uint32_t kRecordsPerFetch = 64;
 /// Leaves room for the frame around the records.
-constexpr std::size_t kFetchBytes = 200 * 1024;
+constexpr std::size_t kFetchBytes = std::size_t{200} * 1024;
 
 peer_settings PeerSettings(const control_context& context) {
   peer_settings settings;
--- a/tests/unit/settings_test.cc
+++ b/tests/unit/settings_test.cc
@@ -50,7 +50,8 @@
 TEST_CASE("the required flags alone give valid settings", "[settings]") {
   settings_fixture test;
   const daemon_settings settings = test.Read({});
-  CHECK(test.findings.ToText() == "");
+  INFO(test.findings.ToText());
+  CHECK(test.findings.empty());
   CHECK(settings.vm == vm_id("e1"));
   CHECK(settings.failure_domain == failure_domain_id("ifo"));
   CHECK(settings.drain_grace == milliseconds(2000));
@@ -88,7 +89,8 @@
   test.SetVariable("WAXWINGWING_WORKER_THREADS", "3");
   test.SetVariable("WAXWINGWING_DRAIN_GRACE_MS", "70");
   const daemon_settings settings = test.Read({"--worker_threads", "5"});
-  CHECK(test.findings.ToText() == "");
+  INFO(test.findings.ToText());
+  CHECK(test.findings.empty());
   CHECK(settings.worker_threads == 5);
   CHECK(settings.drain_grace == milliseconds(70));
 }
