groups: order members away only after the leader

Cause: on a change of generation all members got their orders at once. A member could obey before the leader, which then still took requests for the old generation from nodes that route by reports up to 2 s old. The invariant checker reported two such requests once, in the test of a lease holder that is cut off from the log (member not ready with rank 1). Change: a member of a superseded generation is ordered only when no fresh report shows its leader in that generation. Ruled out: a shorter report lifetime; it narrows the window only. Before: the new planner test fails with the rule switched off. After: it passes with all 259 unit tests. Conclusion: fits the trace that was seen once; that run's records are gone, so that this was its cause is not proved.

--- a/src/groups/order_writer.cc
+++ b/src/groups/order_writer.cc
@@ -28,6 +28,19 @@
   return !sent || view.report->taken_at > *sent;
 }
 
+bool order_writer::LeaderStillServes(const backend_assignment& held) const {
+  if (held.rank == 0) return false;
+  return std::any_of(pool_.views().begin(), pool_.views().end(), [&](const auto& item) {
+    const vm_view& view = item.second;
+    const backend_assignment* leader = view.fresh ? view.Assignment() : nullptr;
+    if (leader == nullptr || leader->rank != 0 || leader->replica != held.replica) return false;
+    if (leader->generation != held.generation) return false;
+    const auto planned = state_.replicas.find(held.replica);
+    return planned == state_.replicas.end() || view.owner != held.replica ||
+           planned->second.generation != held.generation;
+  });
+}
+
 replica_order order_writer::NewOrder(const vm_view& view, order_kind kind) const {
   replica_order order;
   order.kind = kind;
@@ -41,6 +54,7 @@
   for (const auto& [id, view] : pool_.views()) {
     const backend_assignment* held = view.Assignment();
     if (held == nullptr || held->replica == view.owner || !MayOrder(view)) continue;
+    if (LeaderStillServes(*held)) continue;
     replica_order order = NewOrder(view, order_kind::kRelease);
     order.replica = held->replica;
     order.model_group = held->model_group;
@@ -103,6 +117,7 @@
   const vm_view& view = *pool_.Find(replica.members[rank]);
   const backend_assignment* held = view.Assignment();
   if (held != nullptr && held->replica != replica.id) return;
+  if (held != nullptr && LeaderStillServes(*held)) return;
   if (!MayOrder(view)) return;
   const bool loads = NeedsLoad(replica, rank, view);
   if (loads && loads_ >= options_.max_loads) return;
--- a/src/groups/order_writer.h
+++ b/src/groups/order_writer.h
@@ -28,6 +28,9 @@
   std::vector<planned_replica*> LoadOrder();
 
   bool MayOrder(const vm_view& view) const;
+  /// Whether the leader of a superseded generation still takes requests for it. Its members are
+  /// ordered away only after it, since nodes that route by earlier reports still send requests.
+  bool LeaderStillServes(const backend_assignment& held) const;
   bool NeedsLoad(const planned_replica& replica, std::uint32_t rank, const vm_view& view) const;
   std::uint32_t CountLoads() const;
   replica_order NewOrder(const vm_view& view, order_kind kind) const;
--- a/tests/unit/replica_planner_test.cc
+++ b/tests/unit/replica_planner_test.cc
@@ -160,6 +160,27 @@
   REQUIRE(world.Serving("g") == 1);
 }
 
+TEST_CASE("members leave a superseded generation after its leader", "[groups]") {
+  // Guards against a leader that takes requests for a replica of which a member has moved on.
+  planner_world world(1);
+  world.AddGroup("g", 1, 3);
+  world.AddVms("f1", 5);
+  world.Run(30);
+  const assembled_replica before = world.OnlyServing();
+  world.Kill(before.members[2]);
+  std::size_t ordered = 0;
+  for (int step = 0; step < 40; ++step) {
+    world.Step();
+    for (const replica_order& order : world.last_orders) {
+      if (order.target != before.members[1]) continue;
+      ++ordered;
+      REQUIRE(world.engines[before.leader].truth.assignment->generation > before.generation);
+    }
+  }
+  REQUIRE(ordered > 0);
+  REQUIRE(world.OnlyServing().generation > before.generation);
+}
+
 TEST_CASE("a leaving member's replica is replaced before it is released", "[groups]") {
   planner_world world(1);
   world.AddGroup("g", 1, 2);
