daemon: let a restarted entry VM inherit its roster slot

Cause: a slot counted only for the incarnation that the log names, so an entry VM that restarted in a log outage had no static share, and after the lease ended no credits either; it could not serve although the engines and its state were there. Change: the slot belongs to the VM; the new incarnation is recorded on the log when it is back. Ruled out: a share for an added VM without a slot; the sum over the slots would pass the limit. Two processes on one VM id at a time would double the share; the platform gives each VM an id of its own. Before: a chat through the restarted entry VM, 7 s into the outage, is not answered whole. After: it is; the recovery test passes. Conclusion: a whole domain that restarts in an outage was not run.

--- a/src/daemon/roster_controller.cc
+++ b/src/daemon/roster_controller.cc
@@ -44,14 +44,19 @@
 std::optional<std::uint32_t> roster_controller::OwnSlot() const {
   const domain_roster* roster = Roster();
   if (roster == nullptr || releasing_) return std::nullopt;
+  // One process runs on a VM at a time, so a new one inherits the slot of the last one: it must not
+  // depend on the log, which may be down when the VM restarts.
   for (const auto& [index, slot] : *roster) {
-    if (slot.vm == context_.settings.vm && slot.incarnation == context_.own_incarnation) {
-      return index;
-    }
+    if (slot.vm == context_.settings.vm) return index;
   }
   return std::nullopt;
 }
 
+bool roster_controller::IsRecorded() const {
+  const auto slot = OwnSlot();
+  return slot && Roster()->at(*slot).incarnation == context_.own_incarnation;
+}
+
 boost::asio::awaitable<void> roster_controller::Loop() {
   while (!releasing_) {
     co_await Tick();
@@ -60,7 +65,7 @@
 }
 
 boost::asio::awaitable<void> roster_controller::Tick() {
-  if (OwnSlot() || !log_.log_reachable()) co_return;
+  if (IsRecorded() || !log_.log_reachable()) co_return;
   const auto claim = NextClaim(context_.clock.Now());
   if (!claim) co_return;
   const append_id id(context_.random.HexId());
--- a/src/daemon/roster_controller.h
+++ b/src/daemon/roster_controller.h
@@ -19,7 +19,7 @@
   /// Gives the slot up; call when no request runs any more.
   boost::asio::awaitable<void> Release();
 
-  /// The own slot, if the log says that this process owns one.
+  /// The slot that this VM owns according to the log.
   std::optional<std::uint32_t> OwnSlot() const;
 
  private:
@@ -28,6 +28,8 @@
   std::optional<roster_record> NextClaim(time_point now);
   bool MayTake(const roster_slot& slot, time_point now);
   const domain_roster* Roster() const;
+  /// Whether the log names this incarnation as the owner of the slot.
+  bool IsRecorded() const;
 
   control_context& context_;
   log_controller& log_;
