--- /dev/null
+++ b/include/waxwingwing/dispatch/server_load.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/units.h"
+
+namespace waxwingwing {
+
+/// What this VM has seen of one backend server: its own requests there, and how they fare.
+///
+/// All streams of a group advance together, pass by pass. Silence on every one of them is therefore
+/// the earliest sign of a group that stands still.
+class server_load {
+ public:
+  void RequestSent(time_point now);
+  /// The first byte of an answer, or the first event of a stream.
+  void AnswerBegun(time_point now, duration waited);
+  void EventArrived(time_point now);
+  /// `begun`: whether the answer had begun.
+  void RequestEnded(bool begun, bool failed, time_point now);
+  /// Nothing is sent to the server until `until`, unless an event arrives before.
+  void Suspend(time_point until);
+
+  bool IsSuspended(time_point now) const { return suspended_until_ && now < *suspended_until_; }
+  std::optional<time_point> suspended_until() const { return suspended_until_; }
+  /// Requests of this VM at the server.
+  std::uint32_t running() const { return running_; }
+  /// Those whose answer has not begun.
+  std::uint32_t waiting() const { return waiting_; }
+  /// Part of recent requests that failed, 0 to 1.
+  double failure_rate() const { return failure_rate_; }
+  /// Smoothed time to the first byte or event.
+  duration typical_wait() const { return typical_wait_; }
+  /// How long the server has been silent although a stream was running; zero when none is.
+  duration SilenceOfStreams(time_point now) const;
+  /// Longest silence that is usual while streams run.
+  duration SilenceLimit() const;
+  std::optional<time_point> last_event() const { return last_event_; }
+
+ private:
+  std::uint32_t running_ = 0;
+  std::uint32_t waiting_ = 0;
+  double failure_rate_ = 0;
+  duration typical_wait_{0};
+  duration typical_pause_{std::chrono::milliseconds(60)};
+  std::optional<time_point> last_event_;
+  std::optional<time_point> streams_since_;
+  std::optional<time_point> suspended_until_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/random_source.h"
+#include "waxwingwing/dispatch/dispatch_map.h"
+#include "waxwingwing/dispatch/server_load.h"
+
+namespace waxwingwing {
+
+/// Why no server was selected.
+enum class selection_failure {
+  kNone,
+  /// No server of the service, or no group of the model, is known.
+  kNoServer,
+  /// All were tried, failed recently or stand still.
+  kAllSuspended,
+  /// All have as many requests as they can start in time.
+  kAllFull,
+};
+
+const char* NameOf(selection_failure failure);
+
+/// Bounds that the selection keeps.
+struct selection_options {
+  /// Requests of this VM at one server whose answer has not begun, per slot of the server.
+  double waiting_per_slot = 0.25;
+  /// Added to the load of servers in other failure domains, as requests per slot: latency and
+  /// traffic between domains cost a little.
+  double other_domain_load = 0.02;
+};
+
+/// Chooses the backend server for a request by the load that this VM knows of.
+class server_selection {
+ public:
+  server_selection(selection_options options, failure_domain_id own_domain, random_source random);
+
+  /// Number of VMs that share the limits of cold servers.
+  void SetVmCount(std::size_t count) { vm_count_ = count; }
+
+  /// A candidate that is not in `excluded`; null with the reason in `failure` when there is none.
+  const dispatch_candidate* Select(const std::vector<dispatch_candidate>& candidates,
+                                   const std::set<backend_server_id>& excluded, time_point now,
+                                   selection_failure& failure);
+  /// Whether `Select` would find a server; takes nothing from the cold servers' rates.
+  bool HasOther(const std::vector<dispatch_candidate>& candidates,
+                const std::set<backend_server_id>& excluded, time_point now);
+
+  server_load& LoadOf(const backend_server_id& server) { return loads_[server]; }
+  /// Forgets servers that `is_known` denies and that have no request.
+  void Prune(const std::function<bool(const backend_server_id&)>& is_known);
+
+ private:
+  struct cold_bucket {
+    double tokens = 1;
+    time_point refilled_at{};
+  };
+
+  bool IsWithinColdRate(const dispatch_candidate& candidate, time_point now);
+  bool IsFull(const dispatch_candidate& candidate, const server_load& load) const;
+  double ScoreOf(const dispatch_candidate& candidate, const server_load& load);
+
+  const selection_options options_;
+  const failure_domain_id own_domain_;
+  random_source random_;
+  std::size_t vm_count_ = 1;
+  std::map<backend_server_id, server_load> loads_;
+  std::map<backend_server_id, cold_bucket> cold_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/include/waxwingwing/formation/group_planner.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/directory/server_directory.h"
+#include "waxwingwing/directory/traffic_configuration.h"
+#include "waxwingwing/formation/formation_order.h"
+#include "waxwingwing/formation/formation_targets.h"
+
+namespace waxwingwing {
+
+struct group_planner_options {
+  /// Spare servers that each fabric domain keeps loaded; one for each of two models.
+  std::size_t spares = 2;
+  /// Time after which an order without an answer is sent again; longer than its time limit.
+  milliseconds order_retry{500};
+  /// Longest time from the first join to the opening; a load takes up to 16 s.
+  milliseconds forming_limit{40000};
+  /// Time that a member has to accept its join; an order that is not answered may be carried out up
+  /// to 12 s later, and the group is formed anew long before.
+  milliseconds join_limit{2500};
+  /// Longest wait for the requests of a head that closes.
+  milliseconds closing_limit{9000};
+  /// How often a member is asked while its condition is in doubt.
+  milliseconds probe_interval{250};
+  /// How long a reported stall keeps a group in doubt; a group that stands still breaks after 6 s.
+  milliseconds doubt_time{1500};
+  /// A head that is neither registered nor answering for this time is taken for dead.
+  milliseconds dead_head_time{800};
+  /// How long servers that just registered may wait for the rest of their fabric domain.
+  milliseconds settle_time{400};
+  /// Loads that may begin within `load_window`; the platform's limit is 5.5 a second.
+  std::size_t load_limit = 20;
+  milliseconds load_window{5000};
+};
+
+/// Forms groups of backend servers for the models of one service, repairs them, and keeps spare
+/// servers loaded.
+///
+/// Used by the controller: `Plan` returns the orders to send now, `RecordOutcome` tells what became
+/// of each. Safety rests on three facts. Epochs only rise, and a server rejects a join with a lower
+/// epoch than it has seen, so a join that is carried out late changes nothing. A group's members
+/// get other orders only after its head has left it, is broken or is dead, so an order to open that
+/// is carried out late finds no group. A group is opened only when every member has reported itself
+/// ready in it.
+class group_planner {
+ public:
+  explicit group_planner(const group_planner_options& options) : options_(options) {}
+
+  /// Forgets everything; called when this process becomes the controller. Epochs continue above
+  /// `epoch_floor`.
+  void Reset(std::uint64_t epoch_floor);
+  /// Whether loads are limited; they are not before the first request.
+  void SetLoadsLimited(bool limited) { loads_limited_ = limited; }
+
+  std::vector<formation_order> Plan(const service_settings& service,
+                                    const server_directory& directory, time_point now);
+  void RecordOutcome(const formation_order& order, order_outcome outcome, time_point now);
+  /// Tells what a probed server says of its membership.
+  void RecordProbe(const backend_server_id& server, order_outcome outcome,
+                   const std::optional<group_membership>& membership, time_point now);
+  /// Someone's streams from the group's head stand still.
+  void RecordStall(const server_group_id& group, time_point now);
+
+  /// Whether an order or a change of state is awaited, so that the next round should come soon.
+  bool IsBusy() const { return busy_; }
+
+ private:
+  enum class phase { kForming, kServing, kClosing, kReleasing };
+
+  struct group_record {
+    server_group_id id;
+    std::string model;
+    std::uint64_t epoch = 0;
+    std::vector<backend_server_id> members;
+    phase current = phase::kForming;
+    time_point phase_since{};
+    /// Whether `open` was or may have been sent.
+    bool may_be_open = false;
+    bool head_released = false;
+    std::optional<time_point> doubted_until;
+  };
+
+  struct server_record {
+    /// Last registered address.
+    std::string address;
+    std::optional<time_point> order_sent_at;
+    bool order_pending = false;
+    std::optional<time_point> probed_at;
+    bool probe_pending = false;
+    /// Probes without an answer since the last answer.
+    std::uint32_t silent_probes = 0;
+    std::optional<time_point> silent_since;
+    /// Membership that the last probe showed, and when.
+    std::optional<group_membership> probed_membership;
+    std::optional<time_point> answered_at;
+    /// Until when an ordered load onto the host may take.
+    std::optional<time_point> staging_until;
+    std::optional<time_point> first_seen;
+  };
+
+  enum class member_condition { kPresent, kDraining, kUnlisted, kLost };
+
+  void ObserveServers();
+  void AdoptGroups();
+  void RetireFinishedGroup(const group_view& view);
+  void AdvanceGroups();
+  void AdvanceForming(group_record& group);
+  void AdvanceServing(group_record& group);
+  void AdvanceClosing(group_record& group);
+  void AdvanceReleasing(group_record& group);
+  bool IsHeadOut(const group_record& group);
+  void StartReleasing(group_record& group);
+  member_condition ConditionOf(const group_record& group, std::size_t rank);
+  bool IsDoubted(const group_record& group) const;
+  void Probe(const backend_server_id& id);
+  void FormMissing();
+  bool FormGroup(const fabric_domain_id& fabric, const model_settings& model);
+  void KeepSpares(const fabric_domain_id& fabric);
+  void Order(const backend_server_id& target, formation_action action, const group_record& group);
+  bool MaySend(const backend_server_id& target);
+  bool IsUsable(const backend_server_id& id) const;
+  bool HoldsMembership(const group_record& group, const backend_server_id& id) const;
+  bool TakeLoad(std::size_t loads);
+  std::size_t LoadsNeeded(const std::vector<backend_server_id>& members,
+                          const std::string& model) const;
+  std::uint64_t NextEpoch() { return ++highest_epoch_; }
+
+  const group_planner_options options_;
+  std::map<server_group_id, group_record> groups_;
+  std::map<backend_server_id, server_record> servers_;
+  std::set<server_group_id> finished_;
+  std::deque<time_point> loads_;
+  std::uint64_t highest_epoch_ = 0;
+  bool busy_ = false;
+  bool loads_limited_ = true;
+
+  // Valid during Plan.
+  const service_settings* service_ = nullptr;
+  const server_directory* directory_ = nullptr;
+  time_point now_{};
+  std::vector<formation_order> orders_;
+  std::set<backend_server_id> taken_;
+  std::map<fabric_domain_id, std::vector<backend_server_id>> free_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/directory/server_directory.cc
@@ -0,0 +1,93 @@
+#include "waxwingwing/directory/server_directory.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace waxwingwing {
+namespace {
+
+/// Whether two registrations lead to the same decisions.
+bool SameFacts(const backend_server& left, const backend_server& right) {
+  return left.service == right.service && left.address == right.address &&
+         left.failure_domain == right.failure_domain && left.born == right.born &&
+         left.draining == right.draining && left.model == right.model &&
+         left.staged == right.staged && left.membership == right.membership &&
+         (left.cold_left.count() > 0) == (right.cold_left.count() > 0);
+}
+
+}  // namespace
+
+bool group_view::HasGap() const {
+  return members.empty() || std::any_of(members.begin(), members.end(),
+                                        [](const backend_server_id& id) { return id.empty(); });
+}
+
+bool server_directory::Update(backend_server server, time_point now) {
+  const auto known = entries_.find(server.id);
+  if (known != entries_.end()) {
+    const backend_server& old = known->second.server;
+    if (server.born < old.born) return false;
+    if (server.born == old.born && server.revision < old.revision) return false;
+  }
+  if (known == entries_.end() || !SameFacts(known->second.server, server)) ++change_count_;
+  entry& target = entries_[server.id];
+  target.updated_at = now;
+  target.cold_until = now + server.cold_left;
+  target.removal_at.reset();
+  target.server = std::move(server);
+  return true;
+}
+
+void server_directory::Remove(const backend_server_id& id, time_point now, duration delay) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.removal_at) return;
+  found->second.removal_at = now + delay;
+}
+
+void server_directory::RemoveAllBut(const std::set<backend_server_id>& listed, time_point now,
+                                    duration delay) {
+  for (const auto& [id, known] : entries_) {
+    if (!listed.contains(id)) Remove(id, now, delay);
+  }
+}
+
+std::vector<backend_server_id> server_directory::ApplyDueRemovals(time_point now) {
+  std::vector<backend_server_id> removed;
+  for (const auto& [id, known] : entries_) {
+    if (known.removal_at && *known.removal_at <= now) removed.push_back(id);
+  }
+  for (const backend_server_id& id : removed) entries_.erase(id);
+  if (!removed.empty()) ++change_count_;
+  return removed;
+}
+
+const server_directory::entry* server_directory::Find(const backend_server_id& id) const {
+  const auto found = entries_.find(id);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+std::map<server_group_id, group_view> server_directory::Groups() const {
+  std::map<server_group_id, group_view> groups;
+  for (const auto& [id, known] : entries_) {
+    const auto& membership = known.server.membership;
+    if (!membership) continue;
+    group_view& group = groups[membership->group];
+    if (membership->epoch < group.epoch) continue;
+    if (membership->epoch > group.epoch) group = group_view{};
+    group.id = membership->group;
+    group.epoch = membership->epoch;
+    if (group.members.size() <= membership->rank) group.members.resize(membership->rank + 1);
+    group.members[membership->rank] = id;
+    if (!known.server.model.empty()) group.model = known.server.model;
+    if (membership->rank == 0) group.head_state = membership->state;
+  }
+  return groups;
+}
+
+void server_directory::SetEvacuated(std::set<failure_domain_id> domains) {
+  if (domains == evacuated_) return;
+  evacuated_ = std::move(domains);
+  ++change_count_;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/dispatch/dispatch_map.cc
@@ -0,0 +1,66 @@
+#include "waxwingwing/dispatch/dispatch_map.h"
+
+#include "waxwingwing/formation/group_name.h"
+
+namespace waxwingwing {
+namespace {
+
+bool MayTakeRequests(const server_directory::entry& known, const server_directory& directory) {
+  return !known.server.draining && !directory.IsEvacuated(known.server.failure_domain);
+}
+
+dispatch_candidate CandidateOf(const server_directory::entry& known) {
+  dispatch_candidate candidate;
+  candidate.server = known.server.id;
+  candidate.address = known.server.address;
+  candidate.failure_domain = known.server.failure_domain;
+  candidate.slots = known.server.slots;
+  candidate.cold_until = known.cold_until;
+  return candidate;
+}
+
+}  // namespace
+
+dispatch_map::dispatch_map(const server_directory& directory,
+                           const traffic_configuration& configuration) {
+  for (const service_settings& service : configuration.services()) {
+    if (!service.models.empty()) with_models_.insert(service.id);
+  }
+  for (const auto& [id, known] : directory.entries()) {
+    if (with_models_.contains(known.server.service)) continue;
+    if (MayTakeRequests(known, directory)) AddPlainServer(known);
+  }
+  for (const auto& [id, group] : directory.Groups()) AddGroup(group, directory, configuration);
+}
+
+void dispatch_map::AddPlainServer(const server_directory::entry& known) {
+  candidates_[{known.server.service, std::string()}].push_back(CandidateOf(known));
+}
+
+void dispatch_map::AddGroup(const group_view& group, const server_directory& directory,
+                            const traffic_configuration& configuration) {
+  if (group.members.empty() || group.head_state != membership_state::kOpen) return;
+  const auto name = ParseGroupName(group.id);
+  if (!name || name->spare) return;
+  const auto* head = directory.Find(group.members.front());
+  if (head == nullptr || !MayTakeRequests(*head, directory)) return;
+  const service_settings* service = configuration.ServiceById(head->server.service);
+  if (service == nullptr || service->ModelByName(name->model) == nullptr) return;
+  // A member that is not registered may be cut off from the list only, and the group works; whether
+  // it does shows on its streams.
+  dispatch_candidate candidate = CandidateOf(*head);
+  candidate.group = group.id;
+  candidate.slots = service->group_slots;
+  candidate.cold_rate = service->cold_rate;
+  candidates_[{service->id, name->model}].push_back(std::move(candidate));
+}
+
+const std::vector<dispatch_candidate>& dispatch_map::Candidates(const service_id& service,
+                                                                const std::string& model) const {
+  static const std::vector<dispatch_candidate> kNone;
+  const auto found =
+      candidates_.find({service, with_models_.contains(service) ? model : std::string()});
+  return found == candidates_.end() ? kNone : found->second;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/dispatch/server_load.cc
@@ -0,0 +1,67 @@
+#include "waxwingwing/dispatch/server_load.h"
+
+#include <algorithm>
+
+namespace waxwingwing {
+namespace {
+
+/// Weight of the newest value in the smoothed ones: a change shows after about ten values.
+constexpr double kSmoothing = 0.1;
+/// Shortest silence that counts as a stall: two passes of a full group with a prompt in each.
+constexpr milliseconds kMinSilence{150};
+constexpr milliseconds kMaxSilence{600};
+/// Silence of this many usual pauses counts as a stall.
+constexpr double kSilenceFactor = 2.5;
+
+duration Smooth(duration old, duration value) {
+  return std::chrono::duration_cast<duration>(old * (1 - kSmoothing) + value * kSmoothing);
+}
+
+}  // namespace
+
+void server_load::RequestSent(time_point /*now*/) {
+  ++running_;
+  ++waiting_;
+}
+
+void server_load::AnswerBegun(time_point now, duration waited) {
+  if (waiting_ > 0) --waiting_;
+  typical_wait_ = typical_wait_ == duration::zero() ? waited : Smooth(typical_wait_, waited);
+  if (!streams_since_) streams_since_ = now;
+  EventArrived(now);
+}
+
+void server_load::EventArrived(time_point now) {
+  if (last_event_ && streams_since_ && *streams_since_ < *last_event_) {
+    const duration pause = now - *last_event_;
+    // Events of one pass arrive together; only the pauses between passes count.
+    if (pause > milliseconds(15) && pause < kMaxSilence) {
+      typical_pause_ = Smooth(typical_pause_, pause);
+    }
+  }
+  last_event_ = now;
+  suspended_until_.reset();
+}
+
+void server_load::RequestEnded(bool begun, bool failed, time_point /*now*/) {
+  if (running_ > 0) --running_;
+  if (!begun && waiting_ > 0) --waiting_;
+  failure_rate_ = failure_rate_ * (1 - kSmoothing) + (failed ? kSmoothing : 0);
+  if (running_ == waiting_) streams_since_.reset();
+}
+
+void server_load::Suspend(time_point until) {
+  suspended_until_ = std::max(suspended_until_.value_or(until), until);
+}
+
+duration server_load::SilenceOfStreams(time_point now) const {
+  if (!streams_since_ || !last_event_) return duration::zero();
+  return now - std::max(*streams_since_, *last_event_);
+}
+
+duration server_load::SilenceLimit() const {
+  const auto usual = std::chrono::duration_cast<duration>(typical_pause_ * kSilenceFactor);
+  return std::clamp<duration>(usual, kMinSilence, kMaxSilence);
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/dispatch/server_selection.cc
@@ -0,0 +1,94 @@
+#include "waxwingwing/dispatch/server_selection.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace waxwingwing {
+namespace {
+
+/// Load added for a server all of whose recent requests failed, in requests per slot.
+constexpr double kFailureLoad = 4;
+/// Spreads requests of VMs that see equal loads.
+constexpr double kRandomLoad = 0.01;
+
+}  // namespace
+
+const char* NameOf(selection_failure failure) {
+  static constexpr std::array kNames = {"none", "no_server", "all_suspended", "all_full"};
+  return kNames.at(static_cast<std::size_t>(failure));
+}
+
+server_selection::server_selection(selection_options options, failure_domain_id own_domain,
+                                   random_source random)
+    : options_(options), own_domain_(std::move(own_domain)), random_(std::move(random)) {}
+
+const dispatch_candidate* server_selection::Select(
+    const std::vector<dispatch_candidate>& candidates, const std::set<backend_server_id>& excluded,
+    time_point now, selection_failure& failure) {
+  failure = selection_failure::kNoServer;
+  const dispatch_candidate* best = nullptr;
+  double best_score = 0;
+  for (const dispatch_candidate& candidate : candidates) {
+    const server_load& load = loads_[candidate.server];
+    if (excluded.contains(candidate.server) || load.IsSuspended(now)) {
+      failure = std::max(failure, selection_failure::kAllSuspended);
+      continue;
+    }
+    if (IsFull(candidate, load) || !IsWithinColdRate(candidate, now)) {
+      failure = selection_failure::kAllFull;
+      continue;
+    }
+    const double score = ScoreOf(candidate, load);
+    if (best != nullptr && score >= best_score) continue;
+    best = &candidate;
+    best_score = score;
+  }
+  if (best == nullptr) return nullptr;
+  failure = selection_failure::kNone;
+  if (best->cold_rate > 0 && now < best->cold_until) cold_[best->server].tokens -= 1;
+  return best;
+}
+
+bool server_selection::HasOther(const std::vector<dispatch_candidate>& candidates,
+                                const std::set<backend_server_id>& excluded, time_point now) {
+  return std::any_of(
+      candidates.begin(), candidates.end(), [&](const dispatch_candidate& candidate) {
+        const server_load& load = loads_[candidate.server];
+        return !excluded.contains(candidate.server) && !load.IsSuspended(now) &&
+               !IsFull(candidate, load) && IsWithinColdRate(candidate, now);
+      });
+}
+
+bool server_selection::IsFull(const dispatch_candidate& candidate, const server_load& load) const {
+  const double limit = options_.waiting_per_slot * static_cast<double>(candidate.slots);
+  return static_cast<double>(load.waiting()) >= std::max(2.0, limit);
+}
+
+bool server_selection::IsWithinColdRate(const dispatch_candidate& candidate, time_point now) {
+  if (candidate.cold_rate <= 0 || now >= candidate.cold_until) return true;
+  cold_bucket& bucket = cold_[candidate.server];
+  // Each VM takes its part of the rate, so that the sum of all keeps it without a message.
+  const double rate = candidate.cold_rate / static_cast<double>(std::max<std::size_t>(vm_count_, 1));
+  const double elapsed = std::chrono::duration<double>(now - bucket.refilled_at).count();
+  bucket.tokens = std::min(1.0, bucket.tokens + std::max(0.0, elapsed) * rate);
+  bucket.refilled_at = now;
+  return bucket.tokens >= 1;
+}
+
+double server_selection::ScoreOf(const dispatch_candidate& candidate, const server_load& load) {
+  const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
+  double score = (load.running() + load.waiting()) / slots;
+  score += load.failure_rate() * kFailureLoad;
+  if (candidate.failure_domain != own_domain_) score += options_.other_domain_load;
+  return score + random_.Fraction() * kRandomLoad;
+}
+
+void server_selection::Prune(const std::function<bool(const backend_server_id&)>& is_known) {
+  std::erase_if(loads_, [&](const auto& item) {
+    return item.second.running() == 0 && !is_known(item.first);
+  });
+  std::erase_if(cold_, [&](const auto& item) { return !is_known(item.first); });
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/configuration_controller.cc
@@ -0,0 +1,109 @@
+#include "entry/configuration_controller.h"
+
+#include <utility>
+
+#include "entry/pause.h"
+#include "platform/record_decoder.h"
+
+namespace waxwingwing {
+namespace {
+
+/// Longest wait of one read. Each answer confirms that the configuration is current; keys are
+/// trusted for 4 s without one.
+constexpr milliseconds kReadWait{1400};
+constexpr milliseconds kRetryPause{150};
+
+}  // namespace
+
+configuration_controller::configuration_controller(entry_context& entry, store_client& store,
+                                                   std::function<void()> on_change)
+    : entry_(entry),
+      store_(store),
+      on_change_(std::move(on_change)),
+      health_(entry, "operators_records") {}
+
+awaitable<void> configuration_controller::Run() {
+  while (!entry_.state.stopping || entry_.state.configuration) {
+    const bool read = offset_ ? co_await ReadOn() : co_await ReadAll();
+    if (!read) co_await Pause(entry_.context, kRetryPause);
+  }
+}
+
+awaitable<bool> configuration_controller::ReadAll() {
+  const time_point sent_at = entry_.clock.Now();
+  const auto page = co_await store_.ReadNewest(store_stream::kOperators);
+  if (!page) {
+    health_.Failed(page.reason());
+    co_return false;
+  }
+  health_.Succeeded();
+  Apply(*page, true);
+  offset_ = page->next;
+  // Without a configuration there is nothing to confirm.
+  if (!entry_.state.configuration) offset_.reset();
+  if (offset_) entry_.state.configuration_confirmed_at = sent_at;
+  co_return offset_.has_value();
+}
+
+awaitable<bool> configuration_controller::ReadOn() {
+  const time_point sent_at = entry_.clock.Now();
+  const auto page = co_await store_.ReadFrom(store_stream::kOperators, *offset_, kReadWait);
+  if (!page) {
+    health_.Failed(page.reason());
+    co_return false;
+  }
+  health_.Succeeded();
+  if (page->trimmed || page->end < *offset_) {
+    entry_.log.Write("history_trimmed", {{"stream", "operators"}, {"offset", *offset_}});
+    offset_.reset();
+    co_return true;
+  }
+  Apply(*page, false);
+  offset_ = page->next;
+  entry_.state.configuration_confirmed_at = sent_at;
+  co_return true;
+}
+
+void configuration_controller::Apply(const store_page& page, bool whole) {
+  if (whole) evacuated_.clear();
+  for (const store_record& record : page.records) {
+    const operator_key key = DecodeOperatorKey(record.key);
+    if (key.is_configuration && record.value) ApplyConfiguration(*record.value);
+    if (!key.evacuated) continue;
+    if (record.value) {
+      evacuated_.insert(*key.evacuated);
+    } else {
+      evacuated_.erase(*key.evacuated);
+    }
+  }
+  if (evacuated_ == entry_.state.directory.evacuated()) return;
+  entry_.state.directory.SetEvacuated(evacuated_);
+  std::string names;
+  for (const failure_domain_id& domain : evacuated_) names += domain.str() + " ";
+  entry_.log.Write("evacuation_changed", {{"domains", names}});
+  on_change_();
+}
+
+void configuration_controller::ApplyConfiguration(const std::string& text) {
+  auto decoded = DecodeConfiguration(text);
+  if (!decoded) {
+    entry_.metrics.Counter("waxwingwing_unreadable_records_total", {{"stream", "operators"}})
+        .Increment();
+    entry_.log.Write("configuration_unreadable", {{"reason", decoded.reason()}});
+    return;
+  }
+  const auto& current = entry_.state.configuration;
+  // A record from before a loss of history must not bring back an older version.
+  if (current && (*decoded)->version <= current->version) return;
+  entry_.log.Write("configuration_changed",
+                   {{"version", (*decoded)->version},
+                    {"previous", current ? current->version : 0},
+                    {"routes", (*decoded)->RouteCount()}});
+  entry_.metrics.Gauge("waxwingwing_configuration_version")
+      .Set(static_cast<std::int64_t>((*decoded)->version));
+  entry_.state.configuration = *decoded;
+  ++entry_.state.configuration_changes;
+  on_change_();
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/controller_election.cc
@@ -0,0 +1,75 @@
+#include "entry/controller_election.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "entry/pause.h"
+
+namespace waxwingwing {
+namespace {
+
+/// A member that is silent this long loses its parts: two calls may be lost.
+constexpr milliseconds kMemberLifetime{2000};
+constexpr milliseconds kRenewInterval{650};
+constexpr milliseconds kRetryPause{150};
+/// For how long an answer is trusted, from when it was asked for.
+constexpr milliseconds kTrustTime{1300};
+/// Wait of a new holder: the trust of an old one, and the time of its last order.
+constexpr milliseconds kTakeoverWait{1800};
+
+}  // namespace
+
+controller_election::controller_election(entry_context& entry, store_client& store,
+                                         std::string member)
+    : entry_(entry), store_(store), member_(std::move(member)), health_(entry, "membership") {}
+
+awaitable<void> controller_election::Run() {
+  while (!entry_.state.stopping) {
+    const time_point sent_at = entry_.clock.Now();
+    const auto view = co_await store_.KeepMembership(
+        member_, generation_, std::max(kMemberLifetime, entry_.settings.min_member_time));
+    if (entry_.state.stopping) co_return;
+    if (view) {
+      health_.Succeeded();
+      Apply(*view, sent_at);
+      co_await Pause(entry_.context, kRenewInterval);
+    } else {
+      health_.Failed(view.reason());
+      co_await Pause(entry_.context, kRetryPause);
+    }
+  }
+}
+
+void controller_election::Apply(const member_view& view, time_point sent_at) {
+  generation_ = view.generation;
+  const std::size_t held = std::max<std::size_t>(view.parts.size(), 1);
+  vm_count_ = (entry_.settings.partitions + held - 1) / held;
+  if (!view.HoldsController()) {
+    if (held_since_) entry_.log.Write("controller_lost", {{"generation", generation_}});
+    held_since_.reset();
+    trusted_until_.reset();
+    return;
+  }
+  const bool lapsed = !trusted_until_ || sent_at > *trusted_until_;
+  if (!held_since_ || lapsed) {
+    held_since_ = entry_.clock.Now();
+    entry_.log.Write("controller_gained", {{"generation", generation_},
+                                           {"acts_after_ms", duration(kTakeoverWait)}});
+  }
+  trusted_until_ = sent_at + kTrustTime;
+}
+
+bool controller_election::IsController() const {
+  const time_point now = entry_.clock.Now();
+  if (!held_since_ || !trusted_until_ || now > *trusted_until_) return false;
+  return now - *held_since_ >= kTakeoverWait;
+}
+
+awaitable<void> controller_election::Leave() {
+  held_since_.reset();
+  trusted_until_.reset();
+  const auto left = co_await store_.EndMembership(member_);
+  entry_.log.Write("membership_ended", {{"done", left && *left}});
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/directory_controller.cc
@@ -0,0 +1,142 @@
+#include "entry/directory_controller.h"
+
+#include <set>
+#include <utility>
+
+#include "platform/record_decoder.h"
+
+namespace waxwingwing {
+namespace {
+
+/// Servers change their registration every 1.2 s; what changes in between shows on requests.
+constexpr milliseconds kUsualInterval{900};
+constexpr milliseconds kRetryPause{200};
+/// After the store was away, servers that live are registered again within this time.
+constexpr milliseconds kReturnTime{2500};
+/// A gap in the reads after which removals may stem from an outage of the store.
+constexpr milliseconds kOutageGap{2200};
+
+}  // namespace
+
+directory_controller::directory_controller(entry_context& entry, store_client& store,
+                                           std::function<void()> on_change)
+    : entry_(entry),
+      store_(store),
+      on_change_(std::move(on_change)),
+      health_(entry, "server_registrations"),
+      pause_(entry.context),
+      interval_(kUsualInterval) {}
+
+void directory_controller::SetInterval(duration interval) {
+  const duration next = std::min<duration>(interval, kUsualInterval);
+  const bool sooner = next < interval_;
+  interval_ = next;
+  if (sooner) pause_.Wake();
+}
+
+awaitable<void> directory_controller::Run() {
+  for (;;) {
+    const bool read = offset_ ? co_await ReadOn() : co_await ReadAll();
+    if (read) {
+      co_await pause_.Wait(interval_);
+    } else {
+      co_await Pause(entry_.context, kRetryPause);
+    }
+  }
+}
+
+duration directory_controller::RemovalDelay(time_point now) const {
+  const auto& confirmed = entry_.state.directory_confirmed_at;
+  const bool was_away = confirmed && now - *confirmed > kOutageGap;
+  const bool just_back = health_.regained_at() && now - *health_.regained_at() < kReturnTime;
+  return health_.is_lost() || was_away || just_back ? duration(kReturnTime) : duration::zero();
+}
+
+awaitable<bool> directory_controller::ReadAll() {
+  const time_point sent_at = entry_.clock.Now();
+  const auto page = co_await store_.ReadNewest(store_stream::kServers);
+  if (!page) {
+    health_.Failed(page.reason());
+    co_return false;
+  }
+  const time_point now = entry_.clock.Now();
+  const duration delay = RemovalDelay(now);
+  health_.Succeeded();
+  std::set<backend_server_id> listed;
+  for (const store_record& record : page->records) {
+    if (record.value) listed.insert(backend_server_id(record.key));
+    Apply(record, now);
+  }
+  entry_.state.directory.RemoveAllBut(listed, now, delay);
+  offset_ = page->next;
+  FinishRead(sent_at);
+  co_return true;
+}
+
+awaitable<bool> directory_controller::ReadOn() {
+  const time_point sent_at = entry_.clock.Now();
+  const auto page = co_await store_.ReadFrom(store_stream::kServers, *offset_, milliseconds(0));
+  if (!page) {
+    health_.Failed(page.reason());
+    co_return false;
+  }
+  const time_point now = entry_.clock.Now();
+  if (page->trimmed || page->end < *offset_) {
+    entry_.log.Write("history_trimmed", {{"stream", "servers"}, {"offset", *offset_}});
+    offset_.reset();
+    co_return co_await ReadAll();
+  }
+  const duration delay = RemovalDelay(now);
+  health_.Succeeded();
+  for (const store_record& record : page->records) {
+    if (!record.value) entry_.state.directory.Remove(backend_server_id(record.key), now, delay);
+    Apply(record, now);
+  }
+  offset_ = page->next;
+  FinishRead(sent_at);
+  co_return true;
+}
+
+void directory_controller::Apply(const store_record& record, time_point now) {
+  if (!record.value) return;
+  auto server = DecodeServer(record.key, *record.value);
+  if (!server) {
+    entry_.metrics.Counter("waxwingwing_unreadable_records_total", {{"stream", "servers"}})
+        .Increment();
+    entry_.log.Write("registration_unreadable",
+                     {{"server", record.key}, {"reason", server.reason()}},
+                     event_log::importance::kRoutine);
+    return;
+  }
+  const auto* known = entry_.state.directory.Find(server->id);
+  const bool news = known == nullptr || known->server.draining != server->draining ||
+                    known->server.membership != server->membership;
+  if (news) {
+    const auto& membership = server->membership;
+    entry_.log.Write("server_changed",
+                     {{"server", server->id.str()},
+                      {"draining", server->draining},
+                      {"domain", server->failure_domain.str()},
+                      {"fabric", server->fabric.str()},
+                      {"group", membership ? membership->group.str() : std::string()},
+                      {"epoch", membership ? membership->epoch : 0},
+                      {"rank", membership ? membership->rank : 0},
+                      {"state", membership ? static_cast<int>(membership->state) : -1},
+                      {"model", server->model}},
+                     event_log::importance::kRoutine);
+  }
+  entry_.state.directory.Update(std::move(*server), now);
+}
+
+void directory_controller::FinishRead(time_point sent_at) {
+  entry_.state.directory_confirmed_at = sent_at;
+  for (const backend_server_id& id :
+       entry_.state.directory.ApplyDueRemovals(entry_.clock.Now())) {
+    entry_.log.Write("server_removed", {{"server", id.str()}});
+  }
+  if (entry_.state.directory.change_count() == reported_change_) return;
+  reported_change_ = entry_.state.directory.change_count();
+  on_change_();
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/entry_daemon.cc
@@ -0,0 +1,231 @@
+#include "waxwingwing/entry/entry_daemon.h"
+
+#include <unistd.h>
+
+// First, because the header of awaitable of Boost 1.74 needs what it includes.
+#include "waxwingwing/platform/coroutine.h"
+//
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <memory>
+
+#include "entry/boot_clock.h"
+#include "entry/configuration_controller.h"
+#include "entry/controller_election.h"
+#include "entry/directory_controller.h"
+#include "entry/formation_controller.h"
+#include "entry/pause.h"
+#include "entry/ready_server.h"
+#include "entry/stall_notices.h"
+#include "platform/header_codec.h"
+#include "platform/settings_file.h"
+#include "waxwingwing/core/finding.h"
+#include "waxwingwing/core/random_source.h"
+#include "waxwingwing/forward/forwarder.h"
+#include "waxwingwing/platform/http_client.h"
+
+namespace waxwingwing {
+namespace {
+
+constexpr int kStartError = 1;
+constexpr int kUsageError = 2;
+constexpr milliseconds kLogFlushInterval{100};
+/// The balancer takes a VM out after two checks a second apart; new callers come until then.
+constexpr milliseconds kBalancerDelay{2300};
+/// Part of the time before the forced end that running requests may use.
+constexpr double kStopShare = 0.9;
+/// Part of the retry budget of all VMs together that is used: VMs see unequal shares of the traffic.
+constexpr double kRetryShare = 0.7;
+/// Time before the limit at which keys stop being accepted: a read may be answered late.
+constexpr milliseconds kRevokeMargin{900};
+
+double RetryBurst(const entry_settings& settings, std::size_t vm_count) {
+  return std::max(4.0, settings.retry_slack * kRetryShare / static_cast<double>(vm_count));
+}
+
+/// Number of entry VMs assumed for the retry budget; deployments of today have 8 or 9.
+constexpr std::size_t kUsualVmCount = 9;
+
+/// The processes' parts and how they are connected.
+class entry_daemon final : public forward_hooks {
+ public:
+  explicit entry_daemon(const entry_settings& settings)
+      : settings_(settings),
+        log_(clock_, settings.vm.str(), DescriptorSink(STDOUT_FILENO)),
+        entry_{context_, clock_, settings_, state_, log_, metrics_},
+        random_(random_source::FromDevice()),
+        http_(&metrics_),
+        store_(http_, settings.store_address),
+        orders_(http_),
+        selection_({}, settings.failure_domain, random_source::FromDevice()),
+        retries_(settings.retry_ratio * kRetryShare, RetryBurst(settings, kUsualVmCount)),
+        forwarder_({context_, clock_, codec_, selection_, retries_, log_, metrics_, *this}, {}),
+        election_(entry_, store_, settings.vm.str() + "/" + random_.HexId()),
+        configuration_(entry_, store_, [this] { BeliefChanged(); }),
+        directory_(entry_, store_, [this] { BeliefChanged(); }),
+        formation_(entry_, election_, directory_, orders_),
+        notices_(
+            entry_, store_, [this] { return election_.IsController(); },
+            [this](const server_group_id& group) { formation_.OnStall(group); }),
+        ready_(context_, metrics_, [this] { return IsReady(); }),
+        signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
+
+  int Run() {
+    for (const auto& started :
+         {ready_.Start(settings_.ready_address), forwarder_.Start(settings_.caller_address)}) {
+      if (started) continue;
+      std::cerr << "waxwingwing entry: cannot listen: " << started.reason() << '\n';
+      return kStartError;
+    }
+    log_.Write("started", {{"domain", settings_.failure_domain.str()},
+                           {"caller_address", settings_.caller_address},
+                           {"first_start", settings_.first_start}});
+    asio::co_spawn(context_, configuration_.Run(), asio::detached);
+    asio::co_spawn(context_, directory_.Run(), asio::detached);
+    asio::co_spawn(context_, election_.Run(), asio::detached);
+    asio::co_spawn(context_, formation_.Run(), asio::detached);
+    asio::co_spawn(context_, notices_.Run(), asio::detached);
+    asio::co_spawn(context_, FlushLog(), asio::detached);
+    asio::co_spawn(context_, FollowSignals(), asio::detached);
+    context_.run();
+    log_.Flush();
+    return 0;
+  }
+
+  bool AreKeysCurrent() const override {
+    if (!settings_.strict_revoke) return true;
+    return ConfigurationAge() < settings_.revoke_limit - kRevokeMargin;
+  }
+
+  void OnStall(const server_group_id& group, const backend_server_id& /*head*/) override {
+    notices_.Report(group);
+  }
+
+  duration ConfigurationAge() const override { return AgeOf(state_.configuration_confirmed_at); }
+  duration DirectoryAge() const override { return AgeOf(state_.directory_confirmed_at); }
+
+ private:
+  duration AgeOf(const std::optional<time_point>& confirmed) const {
+    return confirmed ? clock_.Now() - *confirmed : duration(std::chrono::hours(1));
+  }
+
+  bool IsReady() const {
+    return !state_.stopping && state_.configuration && state_.directory_confirmed_at &&
+           AreKeysCurrent();
+  }
+
+  void BeliefChanged() {
+    formation_.Wake();
+    if (!state_.configuration) return;
+    selection_.SetVmCount(election_.vm_count());
+    selection_.Prune(
+        [this](const backend_server_id& id) { return state_.directory.Find(id) != nullptr; });
+    forwarder_.SetConfiguration(state_.configuration);
+    forwarder_.SetMap(std::make_shared<dispatch_map>(state_.directory, *state_.configuration));
+  }
+
+  awaitable<void> FlushLog() {
+    for (;;) {
+      co_await Pause(context_, kLogFlushInterval);
+      log_.Flush();
+    }
+  }
+
+  awaitable<void> FollowSignals() {
+    for (;;) {
+      error_code error;
+      const int signal = co_await signals_.async_wait(StoreError(error));
+      if (error) co_return;
+      if (signal == SIGHUP) {
+        CheckSettings();
+        continue;
+      }
+      if (!state_.stopping) asio::co_spawn(context_, Stop(), asio::detached);
+    }
+  }
+
+  /// Settings that this process uses take effect at its next start; faults are told at once.
+  void CheckSettings() {
+    finding_list findings;
+    ReadSettingsFile(SettingsPathFromEnvironment(), findings);
+    log_.Write("settings_reloaded",
+               {{"valid", findings.empty()}, {"faults", findings.ToText()}});
+  }
+
+  awaitable<void> Stop() {
+    const time_point began_at = clock_.Now();
+    state_.stopping = true;
+    log_.Write("stopping", {{"connections", forwarder_.Connections()},
+                            {"running", forwarder_.RunningCalls()}});
+    forwarder_.BeginShutdown();
+    co_await election_.Leave();
+    const auto limit = std::chrono::duration_cast<duration>(settings_.stop_limit * kStopShare);
+    const time_point last = began_at + limit;
+    while (clock_.Now() < std::min(began_at + kBalancerDelay, last)) {
+      co_await Pause(context_, milliseconds(50));
+    }
+    forwarder_.StopAccepting();
+    while (clock_.Now() < last && forwarder_.Connections() > 0) {
+      co_await Pause(context_, milliseconds(20));
+      forwarder_.StopAccepting();
+    }
+    log_.Write("stopped", {{"running", forwarder_.RunningCalls()},
+                           {"took_ms", clock_.Now() - began_at}});
+    context_.stop();
+  }
+
+  const entry_settings settings_;
+  const boot_clock clock_;
+  asio::io_context context_{1};
+  metrics_registry metrics_;
+  event_log log_;
+  entry_state state_;
+  entry_context entry_;
+  random_source random_;
+  http_client http_;
+  store_client store_;
+  order_client orders_;
+  header_codec codec_;
+  server_selection selection_;
+  retry_budget retries_;
+  forwarder forwarder_;
+  controller_election election_;
+  configuration_controller configuration_;
+  directory_controller directory_;
+  formation_controller formation_;
+  stall_notices notices_;
+  ready_server ready_;
+  asio::signal_set signals_;
+};
+
+}  // namespace
+
+int RunEntry(const std::vector<std::string>& arguments) {
+  finding_list findings;
+  std::string path = SettingsPathFromEnvironment();
+  for (const std::string& argument : arguments) {
+    constexpr std::string_view kSettingsFlag = "--settings=";
+    if (argument.starts_with(kSettingsFlag)) {
+      path = argument.substr(kSettingsFlag.size());
+    } else {
+      findings.Add(argument, "unknown flag");
+    }
+  }
+  const entry_settings settings = ReadSettingsFile(path, findings);
+  if (!findings.empty()) {
+    std::cerr << "waxwingwing entry: invalid settings\n" << findings.ToText();
+    return kUsageError;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  entry_daemon daemon(settings);
+  return daemon.Run();
+}
+
+std::string DescribeEntryFlags() {
+  return "  --settings=PATH  settings file; the platform's environment variable by default\n";
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/formation_controller.cc
@@ -0,0 +1,109 @@
+#include "entry/formation_controller.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+namespace waxwingwing {
+namespace {
+
+constexpr milliseconds kUsualInterval{300};
+/// While groups form or are released.
+constexpr milliseconds kBusyInterval{60};
+/// How often registrations are read meanwhile; servers register changes of their group at once.
+constexpr milliseconds kBusyDirectoryInterval{100};
+constexpr milliseconds kOrderLimit{400};
+constexpr milliseconds kProbeLimit{220};
+/// Traffic begins 10 s after a first start; loads before it do not count.
+constexpr milliseconds kQuietStart{8500};
+/// Epochs of a term begin above those of all earlier ones, also those that no registration shows.
+constexpr std::uint64_t kEpochsPerGeneration = 1000;
+
+}  // namespace
+
+formation_controller::formation_controller(entry_context& entry, controller_election& election,
+                                           directory_controller& directory, order_client& orders)
+    : entry_(entry),
+      election_(election),
+      directory_(directory),
+      orders_(orders),
+      pause_(entry.context),
+      started_at_(entry.clock.Now()) {}
+
+awaitable<void> formation_controller::Run() {
+  while (!entry_.state.stopping) {
+    Plan();
+    co_await pause_.Wait(busy_ ? kBusyInterval : kUsualInterval);
+  }
+}
+
+group_planner& formation_controller::PlannerOf(const service_id& service) {
+  return planners_.try_emplace(service, group_planner_options{}).first->second;
+}
+
+void formation_controller::OnStall(const server_group_id& group) {
+  if (!acting_) return;
+  const time_point now = entry_.clock.Now();
+  for (auto& [service, planner] : planners_) planner.RecordStall(group, now);
+  pause_.Wake();
+}
+
+void formation_controller::Plan() {
+  const bool controls = election_.IsController();
+  busy_ = false;
+  if (!controls || !entry_.state.configuration || !entry_.state.directory_confirmed_at) {
+    acting_ = false;
+    directory_.SetInterval(std::chrono::seconds(1));
+    return;
+  }
+  if (!acting_) {
+    acting_ = true;
+    for (auto& [service, planner] : planners_) {
+      planner.Reset(election_.generation() * kEpochsPerGeneration);
+    }
+  }
+  const time_point now = entry_.clock.Now();
+  const auto configuration = entry_.state.configuration;
+  for (const service_settings& service : configuration->services()) {
+    if (service.models.empty()) continue;
+    group_planner& planner = PlannerOf(service.id);
+    planner.SetLoadsLimited(!entry_.settings.first_start || now - started_at_ > kQuietStart);
+    for (formation_order& order : planner.Plan(service, entry_.state.directory, now)) {
+      asio::co_spawn(entry_.context, Carry(service.id, std::move(order)), asio::detached);
+    }
+    busy_ = busy_ || planner.IsBusy();
+  }
+  directory_.SetInterval(busy_ ? duration(kBusyDirectoryInterval)
+                               : duration(std::chrono::seconds(1)));
+}
+
+awaitable<void> formation_controller::Carry(service_id service, formation_order order) {
+  const bool probe = order.action == formation_action::kProbe;
+  const time_point sent_at = entry_.clock.Now();
+  // The planner's decision is worth nothing once this VM is no longer the controller.
+  if (!probe && !election_.IsController()) co_return;
+  const order_answer answer = co_await orders_.Send(order, probe ? kProbeLimit : kOrderLimit);
+  const time_point now = entry_.clock.Now();
+  entry_.metrics
+      .Counter("waxwingwing_orders_total",
+               {{"action", NameOf(order.action)}, {"outcome", NameOf(answer.outcome)}})
+      .Increment();
+  entry_.log.Write("order_sent", {{"action", NameOf(order.action)},
+                                  {"server", order.target.str()},
+                                  {"group", order.group.str()},
+                                  {"epoch", order.epoch},
+                                  {"members", order.members.size()},
+                                  {"model", order.model},
+                                  {"outcome", NameOf(answer.outcome)},
+                                  {"generation", election_.generation()},
+                                  {"took_ms", now - sent_at}});
+  group_planner& planner = PlannerOf(service);
+  if (probe) {
+    planner.RecordProbe(order.target, answer.outcome, answer.membership, now);
+  } else {
+    planner.RecordOutcome(order, answer.outcome, now);
+  }
+  pause_.Wake();
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/pause.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/platform/coroutine.h"
+
+namespace waxwingwing {
+
+/// Suspends the coroutine for `time`.
+inline awaitable<void> Pause(asio::io_context& context, duration time) {
+  asio::steady_timer timer(context, time);
+  error_code ignored;
+  co_await timer.async_wait(StoreError(ignored));
+}
+
+/// Suspends a coroutine for a time or until it is woken.
+class wakeable_pause {
+ public:
+  explicit wakeable_pause(asio::io_context& context) : timer_(context) {}
+
+  awaitable<void> Wait(duration time) {
+    if (woken_) {
+      woken_ = false;
+      co_return;
+    }
+    timer_.expires_after(time);
+    error_code ignored;
+    co_await timer_.async_wait(StoreError(ignored));
+    woken_ = false;
+  }
+
+  void Wake() {
+    woken_ = true;
+    timer_.cancel();
+  }
+
+ private:
+  asio::steady_timer timer_;
+  bool woken_ = false;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/ready_server.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <string>
+
+#include "waxwingwing/core/result.h"
+#include "waxwingwing/metrics/metrics_registry.h"
+#include "waxwingwing/platform/coroutine.h"
+
+namespace waxwingwing {
+
+/// Answers the balancer's checks and serves the metrics.
+class ready_server {
+ public:
+  ready_server(asio::io_context& context, const metrics_registry& metrics,
+               std::function<bool()> is_ready);
+
+  /// Listens on `ip:port`; fails with the system's reason.
+  result<std::string> Start(const std::string& address);
+
+ private:
+  awaitable<void> Accept();
+  awaitable<void> Serve(asio::ip::tcp::socket socket);
+
+  asio::io_context& context_;
+  const metrics_registry& metrics_;
+  const std::function<bool()> is_ready_;
+  asio::ip::tcp::acceptor acceptor_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/stall_notices.cc
@@ -0,0 +1,73 @@
+#include "entry/stall_notices.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "entry/pause.h"
+
+namespace waxwingwing {
+namespace {
+
+/// A group is reported again only after this time; the controller acts on one notice.
+constexpr milliseconds kRepeatTime{1200};
+constexpr milliseconds kReadWait{5000};
+constexpr milliseconds kRetryPause{300};
+
+}  // namespace
+
+stall_notices::stall_notices(entry_context& entry, store_client& store,
+                             std::function<bool()> is_controller,
+                             std::function<void(const server_group_id&)> on_stall)
+    : entry_(entry),
+      store_(store),
+      is_controller_(std::move(is_controller)),
+      on_stall_(std::move(on_stall)) {}
+
+void stall_notices::Report(const server_group_id& group) {
+  const time_point now = entry_.clock.Now();
+  const auto known = reported_.find(group);
+  if (known != reported_.end() && now - known->second < kRepeatTime) return;
+  reported_[group] = now;
+  if (is_controller_()) return on_stall_(group);
+  asio::co_spawn(entry_.context, Send(group), asio::detached);
+}
+
+awaitable<void> stall_notices::Send(server_group_id group) {
+  const auto sent = co_await store_.Append(store_stream::kStalls, group.str());
+  entry_.log.Write("stall_notice_sent",
+                   {{"group", group.str()},
+                    {"done", sent.has_value()},
+                    {"reason", sent ? std::string() : sent.reason()}});
+}
+
+awaitable<void> stall_notices::Run() {
+  for (;;) {
+    if (!is_controller_()) {
+      offset_.reset();
+      co_await Pause(entry_.context, kRetryPause);
+      continue;
+    }
+    // A notice from before this VM became the controller is of no use: start at the end.
+    const std::uint64_t from = offset_.value_or(0);
+    const auto page = co_await store_.ReadFrom(store_stream::kStalls, from,
+                                               offset_ ? kReadWait : milliseconds(0));
+    if (!page) {
+      co_await Pause(entry_.context, kRetryPause);
+      continue;
+    }
+    if (page->trimmed) {
+      offset_.reset();
+      co_await Pause(entry_.context, kRetryPause);
+      continue;
+    }
+    if (offset_) {
+      for (const store_record& record : page->records) {
+        if (record.value) on_stall_(server_group_id(*record.value));
+      }
+    }
+    offset_ = offset_ ? page->next : page->end;
+  }
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/entry/stall_notices.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "entry/entry_state.h"
+#include "platform/store_client.h"
+#include "waxwingwing/directory/backend_server.h"
+
+namespace waxwingwing {
+
+/// Tells the controller, through the store, of groups whose streams stand still here.
+class stall_notices {
+ public:
+  stall_notices(entry_context& entry, store_client& store, std::function<bool()> is_controller,
+                std::function<void(const server_group_id&)> on_stall);
+
+  /// Reads the notices of other VMs while this one is the controller.
+  awaitable<void> Run();
+  /// A group's streams stand still here.
+  void Report(const server_group_id& group);
+
+ private:
+  awaitable<void> Send(server_group_id group);
+
+  entry_context& entry_;
+  store_client& store_;
+  const std::function<bool()> is_controller_;
+  const std::function<void(const server_group_id&)> on_stall_;
+  std::map<server_group_id, time_point> reported_;
+  std::optional<std::uint64_t> offset_;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/formation/formation_targets.cc
@@ -0,0 +1,66 @@
+#include "waxwingwing/formation/formation_targets.h"
+
+#include <algorithm>
+
+namespace waxwingwing {
+namespace {
+
+std::vector<const model_settings*> ByShare(const std::vector<model_settings>& models) {
+  std::vector<const model_settings*> sorted;
+  for (const model_settings& model : models) {
+    if (model.group_size > 0) sorted.push_back(&model);
+  }
+  std::stable_sort(sorted.begin(), sorted.end(), [](const auto* left, const auto* right) {
+    return left->share > right->share;
+  });
+  return sorted;
+}
+
+/// The model with the most share per group, among those with a size up to `room`.
+const model_settings* NeediestModel(const std::vector<const model_settings*>& models,
+                                    const group_counts& totals, std::size_t room) {
+  const model_settings* best = nullptr;
+  double best_need = 0;
+  for (const model_settings* model : models) {
+    if (model->group_size > room) continue;
+    const auto total = totals.find(model->name);
+    const double groups = total == totals.end() ? 0 : static_cast<double>(total->second);
+    const double need = model->share / (groups + 1);
+    if (best == nullptr || need > best_need) {
+      best = model;
+      best_need = need;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+std::map<fabric_domain_id, group_counts> ComputeFormationTargets(
+    const std::vector<model_settings>& models,
+    const std::map<fabric_domain_id, std::size_t>& usable_servers, std::size_t reserve) {
+  const auto sorted = ByShare(models);
+  std::map<fabric_domain_id, group_counts> targets;
+  group_counts totals;
+  std::map<fabric_domain_id, std::size_t> left = usable_servers;
+  for (auto& [fabric, room] : left) {
+    for (const model_settings* model : sorted) {
+      if (model->group_size > room) continue;
+      ++targets[fabric][model->name];
+      ++totals[model->name];
+      room -= model->group_size;
+    }
+  }
+  for (auto& [fabric, room] : left) {
+    while (room > reserve) {
+      const model_settings* model = NeediestModel(sorted, totals, room - reserve);
+      if (model == nullptr) break;
+      ++targets[fabric][model->name];
+      ++totals[model->name];
+      room -= model->group_size;
+    }
+  }
+  return targets;
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/formation/group_planner.cc
@@ -0,0 +1,515 @@
+#include "waxwingwing/formation/group_planner.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "waxwingwing/formation/group_name.h"
+
+namespace waxwingwing {
+namespace {
+
+bool IsReadyState(membership_state state) {
+  return state == membership_state::kReady || state == membership_state::kOpen;
+}
+
+bool HasStaged(const backend_server& server, const std::string& model) {
+  return std::find(server.staged.begin(), server.staged.end(), model) != server.staged.end();
+}
+
+/// 0: joins without loading, 1: loads from its host, 2: loads from the weight store.
+int JoinCost(const backend_server& server, const std::string& model) {
+  if (server.model == model) return 0;
+  return HasStaged(server, model) ? 1 : 2;
+}
+
+}  // namespace
+
+void group_planner::Reset(std::uint64_t epoch_floor) {
+  groups_.clear();
+  servers_.clear();
+  finished_.clear();
+  loads_.clear();
+  highest_epoch_ = std::max(highest_epoch_, epoch_floor);
+}
+
+std::vector<formation_order> group_planner::Plan(const service_settings& service,
+                                                 const server_directory& directory,
+                                                 time_point now) {
+  service_ = &service;
+  directory_ = &directory;
+  now_ = now;
+  orders_.clear();
+  busy_ = false;
+  ObserveServers();
+  AdoptGroups();
+  AdvanceGroups();
+  FormMissing();
+  service_ = nullptr;
+  directory_ = nullptr;
+  return std::move(orders_);
+}
+
+void group_planner::RecordOutcome(const formation_order& order, order_outcome outcome,
+                                  time_point now) {
+  server_record& server = servers_[order.target];
+  server.order_pending = false;
+  if (outcome == order_outcome::kNoAnswer && order.action == formation_action::kJoin) {
+    server.silent_since = server.silent_since.value_or(now);
+    ++server.silent_probes;
+  } else if (outcome != order_outcome::kNoAnswer && outcome != order_outcome::kUnreachable) {
+    server.silent_since.reset();
+    server.silent_probes = 0;
+  }
+  if (outcome == order_outcome::kOutdated) highest_epoch_ += 1000;
+  const auto found = groups_.find(order.group);
+  if (found == groups_.end()) return;
+  group_record& group = found->second;
+  if (order.action == formation_action::kLeave && outcome != order_outcome::kNoAnswer &&
+      outcome != order_outcome::kUnreachable) {
+    // Any answer settles it: the head has left, or it is not in this group and epoch.
+    group.head_released = true;
+  }
+  if (outcome == order_outcome::kUnreachable || outcome == order_outcome::kWrongServer) {
+    if (order.action == formation_action::kLeave) group.head_released = true;
+    server.silent_since = server.silent_since.value_or(now);
+    server.silent_probes += 2;
+  }
+  if (order.action == formation_action::kJoin && outcome == order_outcome::kOutdated) {
+    StartReleasing(group);
+  }
+}
+
+void group_planner::RecordProbe(const backend_server_id& id, order_outcome outcome,
+                                const std::optional<group_membership>& membership,
+                                time_point now) {
+  server_record& server = servers_[id];
+  server.probe_pending = false;
+  if (outcome == order_outcome::kAccepted) {
+    server.silent_probes = 0;
+    server.silent_since.reset();
+    server.answered_at = now;
+    server.probed_membership = membership;
+    return;
+  }
+  server.silent_since = server.silent_since.value_or(now);
+  // A closed port is certain; silence counts once.
+  server.silent_probes += outcome == order_outcome::kNoAnswer ? 1 : 2;
+}
+
+void group_planner::RecordStall(const server_group_id& id, time_point now) {
+  const auto found = groups_.find(id);
+  if (found == groups_.end()) return;
+  group_record& group = found->second;
+  if (!group.doubted_until || *group.doubted_until < now) {
+    for (const backend_server_id& member : group.members) {
+      servers_[member].silent_probes = 0;
+      servers_[member].answered_at.reset();
+      servers_[member].probed_at.reset();
+    }
+  }
+  group.doubted_until = now + options_.doubt_time;
+  busy_ = true;
+}
+
+void group_planner::ObserveServers() {
+  taken_.clear();
+  for (const auto& [id, known] : directory_->entries()) {
+    if (known.server.service != service_->id) continue;
+    server_record& server = servers_[id];
+    if (!server.first_seen) server.first_seen = now_;
+    server.address = known.server.address;
+    if (server.silent_since && known.updated_at > *server.silent_since + options_.dead_head_time) {
+      server.silent_since.reset();
+      server.silent_probes = 0;
+    }
+    if (known.server.membership) {
+      highest_epoch_ = std::max(highest_epoch_, known.server.membership->epoch);
+    }
+  }
+}
+
+void group_planner::AdoptGroups() {
+  for (const auto& [id, view] : directory_->Groups()) {
+    if (finished_.contains(id)) RetireFinishedGroup(view);
+    if (groups_.contains(id) || finished_.contains(id)) continue;
+    const auto name = ParseGroupName(id);
+    if (name && name->spare) continue;
+    const model_settings* model =
+        service_->ModelByName(name ? std::string_view(name->model) : view.model);
+    group_record group;
+    group.id = id;
+    group.model = model == nullptr ? view.model : model->name;
+    group.epoch = view.epoch;
+    group.members = view.members;
+    if (model != nullptr && group.members.size() < model->group_size) {
+      group.members.resize(model->group_size);
+    }
+    group.phase_since = now_;
+    group.may_be_open = true;
+    const bool forming = view.head_state == membership_state::kJoining ||
+                         view.head_state == membership_state::kReady;
+    group.current = forming ? phase::kForming : phase::kServing;
+    groups_.emplace(id, std::move(group));
+  }
+}
+
+void group_planner::RetireFinishedGroup(const group_view& view) {
+  // A head that was taken for dead returned with its requests open; its members are elsewhere.
+  const backend_server_id& head = view.members.front();
+  if (view.head_state != membership_state::kOpen || !MaySend(head)) return;
+  group_record group;
+  group.id = view.id;
+  group.epoch = view.epoch;
+  Order(head, formation_action::kLeave, group);
+}
+
+void group_planner::AdvanceGroups() {
+  static constexpr std::array<void (group_planner::*)(group_record&), 4> kAdvance = {
+      &group_planner::AdvanceForming, &group_planner::AdvanceServing,
+      &group_planner::AdvanceClosing, &group_planner::AdvanceReleasing};
+  for (auto& [id, group] : groups_) {
+    (this->*kAdvance.at(static_cast<std::size_t>(group.current)))(group);
+  }
+  for (auto group = groups_.begin(); group != groups_.end();) {
+    if (group->second.current == phase::kReleasing && group->second.head_released) {
+      finished_.insert(group->first);
+      group = groups_.erase(group);
+    } else {
+      for (const backend_server_id& member : group->second.members) taken_.insert(member);
+      ++group;
+    }
+  }
+}
+
+bool group_planner::HoldsMembership(const group_record& group, const backend_server_id& id) const {
+  const auto* known = directory_->Find(id);
+  if (known == nullptr || !known->server.membership) return false;
+  return known->server.membership->group == group.id &&
+         known->server.membership->epoch == group.epoch;
+}
+
+void group_planner::AdvanceForming(group_record& group) {
+  busy_ = true;
+  bool all_ready = true;
+  const bool joining_late = now_ - group.phase_since > options_.join_limit;
+  for (const backend_server_id& member : group.members) {
+    const auto* known = directory_->Find(member);
+    if (known == nullptr || known->server.draining || servers_[member].silent_probes >= 2) {
+      return StartReleasing(group);
+    }
+    if (!HoldsMembership(group, member)) {
+      if (joining_late) return StartReleasing(group);
+      all_ready = false;
+      if (MaySend(member)) Order(member, formation_action::kJoin, group);
+      continue;
+    }
+    if (known->server.membership->state == membership_state::kBroken) return StartReleasing(group);
+    if (!IsReadyState(known->server.membership->state)) all_ready = false;
+  }
+  const auto* head = directory_->Find(group.members.front());
+  if (all_ready && head->server.membership->state == membership_state::kOpen) {
+    group.current = phase::kServing;
+    group.phase_since = now_;
+    return;
+  }
+  if (all_ready && MaySend(group.members.front())) {
+    group.may_be_open = true;
+    Order(group.members.front(), formation_action::kOpen, group);
+  }
+  if (now_ - group.phase_since > options_.forming_limit) StartReleasing(group);
+}
+
+bool group_planner::IsDoubted(const group_record& group) const {
+  return group.doubted_until && now_ < *group.doubted_until;
+}
+
+group_planner::member_condition group_planner::ConditionOf(const group_record& group,
+                                                           std::size_t rank) {
+  const backend_server_id& id = group.members[rank];
+  if (id.empty()) return member_condition::kLost;
+  const server_record& server = servers_[id];
+  const auto* known = directory_->Find(id);
+  if (known != nullptr) {
+    if (!HoldsMembership(group, id)) return member_condition::kLost;
+    if (IsDoubted(group) && server.silent_probes >= 1) return member_condition::kLost;
+    return known->server.draining ? member_condition::kDraining : member_condition::kPresent;
+  }
+  // Not registered any more: it may be cut off from the list and still work.
+  if (server.silent_probes >= 2) return member_condition::kLost;
+  if (server.answered_at && (!server.probed_membership ||
+                             server.probed_membership->group != group.id ||
+                             server.probed_membership->epoch != group.epoch)) {
+    return member_condition::kLost;
+  }
+  return member_condition::kUnlisted;
+}
+
+void group_planner::AdvanceServing(group_record& group) {
+  const auto* head = directory_->Find(group.members.front());
+  if (head != nullptr && HoldsMembership(group, group.members.front()) &&
+      head->server.membership->state == membership_state::kBroken) {
+    group.head_released = true;
+    return StartReleasing(group);
+  }
+  if (head != nullptr && HoldsMembership(group, group.members.front()) &&
+      head->server.membership->state == membership_state::kReady) {
+    group.current = phase::kForming;
+    group.phase_since = now_;
+    busy_ = true;
+    return;
+  }
+  if (IsDoubted(group)) {
+    busy_ = true;
+    for (const backend_server_id& member : group.members) Probe(member);
+  }
+  bool draining = false;
+  for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
+    const member_condition condition = ConditionOf(group, rank);
+    // A head that is not registered may get nothing new, so its group is of no use.
+    if (condition == member_condition::kLost ||
+        (condition == member_condition::kUnlisted && rank == 0)) {
+      return StartReleasing(group);
+    }
+    if (condition == member_condition::kDraining) draining = true;
+    if (condition == member_condition::kUnlisted) Probe(group.members[rank]);
+  }
+  if (!draining) return;
+  group.current = phase::kClosing;
+  group.phase_since = now_;
+  AdvanceClosing(group);
+}
+
+void group_planner::AdvanceClosing(group_record& group) {
+  busy_ = true;
+  const backend_server_id& head = group.members.front();
+  const auto* known = directory_->Find(head);
+  if (known == nullptr || !HoldsMembership(group, head)) return StartReleasing(group);
+  const membership_state state = known->server.membership->state;
+  if (state == membership_state::kBroken) group.head_released = true;
+  const bool closed = state == membership_state::kReady || state == membership_state::kBroken;
+  if (closed || now_ - group.phase_since > options_.closing_limit) return StartReleasing(group);
+  for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
+    if (ConditionOf(group, rank) == member_condition::kLost) return StartReleasing(group);
+  }
+  if (state == membership_state::kOpen && MaySend(head)) {
+    Order(head, formation_action::kClose, group);
+  }
+}
+
+void group_planner::StartReleasing(group_record& group) {
+  if (group.current != phase::kReleasing) group.phase_since = now_;
+  group.current = phase::kReleasing;
+  if (directory_ != nullptr) AdvanceReleasing(group);
+}
+
+bool group_planner::IsHeadOut(const group_record& group) {
+  const backend_server_id& head = group.members.front();
+  if (head.empty()) return false;
+  const auto* known = directory_->Find(head);
+  if (known != nullptr) {
+    const auto& membership = known->server.membership;
+    // A registration from before the join shows no membership, too; it matters only if the head
+    // may have been opened.
+    if (!group.may_be_open) return true;
+    if (!membership || membership->group != group.id || membership->epoch != group.epoch) {
+      return true;
+    }
+    return membership->state == membership_state::kBroken;
+  }
+  const server_record& server = servers_[head];
+  return server.silent_probes >= 2 && server.silent_since &&
+         now_ - *server.silent_since > options_.dead_head_time;
+}
+
+void group_planner::AdvanceReleasing(group_record& group) {
+  busy_ = true;
+  if (group.head_released) return;
+  const backend_server_id& head = group.members.front();
+  if (head.empty()) {
+    // The head was never seen by this controller. Members stay until a group that stands still has
+    // certainly broken.
+    constexpr milliseconds kUnknownHeadTime{7000};
+    group.head_released = now_ - group.phase_since > kUnknownHeadTime;
+    return;
+  }
+  if (IsHeadOut(group)) {
+    group.head_released = true;
+    return;
+  }
+  if (directory_->Find(head) == nullptr) Probe(head);
+  if (MaySend(head)) Order(head, formation_action::kLeave, group);
+}
+
+void group_planner::Probe(const backend_server_id& id) {
+  if (id.empty()) return;
+  server_record& server = servers_[id];
+  if (server.probe_pending && server.probed_at && now_ - *server.probed_at < options_.order_retry) {
+    return;
+  }
+  if (server.probed_at && now_ - *server.probed_at < options_.probe_interval) return;
+  server.probed_at = now_;
+  server.probe_pending = true;
+  formation_order order;
+  order.action = formation_action::kProbe;
+  order.target = id;
+  order.address = server.address;
+  orders_.push_back(std::move(order));
+}
+
+bool group_planner::MaySend(const backend_server_id& target) {
+  if (target.empty()) return false;
+  const server_record& server = servers_[target];
+  return !server.order_sent_at || now_ - *server.order_sent_at >= options_.order_retry ||
+         (!server.order_pending && now_ - *server.order_sent_at >= options_.order_retry / 4);
+}
+
+void group_planner::Order(const backend_server_id& target, formation_action action,
+                          const group_record& group) {
+  server_record& server = servers_[target];
+  server.order_sent_at = now_;
+  server.order_pending = true;
+  formation_order order;
+  order.action = action;
+  order.target = target;
+  order.address = server.address;
+  order.group = group.id;
+  order.epoch = group.epoch;
+  order.model = group.model;
+  if (action == formation_action::kJoin) order.members = group.members;
+  orders_.push_back(std::move(order));
+}
+
+bool group_planner::IsUsable(const backend_server_id& id) const {
+  const auto* known = directory_->Find(id);
+  if (known == nullptr || known->server.service != service_->id) return false;
+  if (known->server.draining || known->removal_at) return false;
+  const auto record = servers_.find(id);
+  if (record == servers_.end()) return true;
+  // A server that did not answer is not used until it registers again or answers.
+  const auto& silent_since = record->second.silent_since;
+  return record->second.silent_probes < 1 || !silent_since ||
+         known->updated_at > *silent_since + options_.dead_head_time;
+}
+
+void group_planner::FormMissing() {
+  std::map<fabric_domain_id, std::size_t> usable;
+  std::map<fabric_domain_id, group_counts> present;
+  std::map<fabric_domain_id, time_point> newest;
+  free_.clear();
+  for (const auto& [id, known] : directory_->entries()) {
+    if (known.server.service != service_->id || !IsUsable(id)) continue;
+    const fabric_domain_id& fabric = known.server.fabric;
+    ++usable[fabric];
+    time_point& seen = newest[fabric];
+    seen = std::max(seen, *servers_[id].first_seen);
+    if (!taken_.contains(id)) free_[fabric].push_back(id);
+  }
+  for (const auto& [id, group] : groups_) {
+    if (group.current == phase::kReleasing || group.current == phase::kClosing) continue;
+    const auto* head = directory_->Find(group.members.front());
+    if (head != nullptr) ++present[head->server.fabric][group.model];
+  }
+  const auto targets = ComputeFormationTargets(service_->models, usable, options_.spares);
+  for (const auto& [fabric, counts] : targets) {
+    std::vector<const model_settings*> missing;
+    for (const auto& [name, count] : counts) {
+      for (std::size_t i = present[fabric][name]; i < count; ++i) {
+        missing.push_back(service_->ModelByName(name));
+      }
+    }
+    std::stable_sort(missing.begin(), missing.end(), [](const auto* left, const auto* right) {
+      return left->share > right->share;
+    });
+    const bool settled = now_ - newest[fabric] > options_.settle_time;
+    if (!settled) busy_ = true;
+    for (const model_settings* model : missing) {
+      if (settled) FormGroup(fabric, *model);
+    }
+    if (settled) KeepSpares(fabric);
+  }
+}
+
+std::size_t group_planner::LoadsNeeded(const std::vector<backend_server_id>& members,
+                                       const std::string& model) const {
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), [&](const backend_server_id& id) {
+        return JoinCost(directory_->Find(id)->server, model) == 2;
+      }));
+}
+
+bool group_planner::TakeLoad(std::size_t loads) {
+  while (!loads_.empty() && now_ - loads_.front() > options_.load_window) loads_.pop_front();
+  if (!loads_limited_) return true;
+  if (loads_.size() + loads > options_.load_limit && !loads_.empty() && loads > 0) return false;
+  loads_.insert(loads_.end(), loads, now_);
+  return true;
+}
+
+bool group_planner::FormGroup(const fabric_domain_id& fabric, const model_settings& model) {
+  std::vector<backend_server_id>& free = free_[fabric];
+  if (free.size() < model.group_size) return false;
+  std::stable_sort(free.begin(), free.end(), [&](const auto& left, const auto& right) {
+    return JoinCost(directory_->Find(left)->server, model.name) <
+           JoinCost(directory_->Find(right)->server, model.name);
+  });
+  group_record group;
+  const auto chosen_end = free.begin() + static_cast<std::ptrdiff_t>(model.group_size);
+  group.members.assign(free.begin(), chosen_end);
+  if (!TakeLoad(LoadsNeeded(group.members, model.name))) {
+    busy_ = true;
+    return false;
+  }
+  free.erase(free.begin(), chosen_end);
+  group.epoch = NextEpoch();
+  group.model = model.name;
+  group.id = MakeGroupName({model.name, false, group.epoch});
+  group.phase_since = now_;
+  const auto placed = groups_.emplace(group.id, std::move(group)).first;
+  AdvanceForming(placed->second);
+  return true;
+}
+
+void group_planner::KeepSpares(const fabric_domain_id& fabric) {
+  std::vector<const model_settings*> models;
+  for (const model_settings& model : service_->models) models.push_back(&model);
+  std::stable_sort(models.begin(), models.end(),
+                   [](const auto* left, const auto* right) { return left->share > right->share; });
+  if (models.empty()) return;
+  std::map<std::string, std::size_t> loaded;
+  for (const backend_server_id& id : free_[fabric]) ++loaded[directory_->Find(id)->server.model];
+  for (const backend_server_id& id : free_[fabric]) {
+    const backend_server& server = directory_->Find(id)->server;
+    if (server.membership && server.membership->state == membership_state::kJoining) continue;
+    if (!MaySend(id)) continue;
+    if (server.model.empty()) {
+      const model_settings* least = *std::min_element(
+          models.begin(), models.end(), [&](const auto* left, const auto* right) {
+            return loaded[left->name] < loaded[right->name];
+          });
+      if (!TakeLoad(HasStaged(server, least->name) ? 0 : 1)) return;
+      ++loaded[least->name];
+      group_record spare;
+      spare.epoch = NextEpoch();
+      spare.model = least->name;
+      spare.id = MakeGroupName({least->name, true, spare.epoch});
+      spare.members = {id};
+      Order(id, formation_action::kJoin, spare);
+      continue;
+    }
+    // The last model joins without loading; another one is kept on the host.
+    const auto other = std::find_if(models.begin(), models.end(), [&](const auto* model) {
+      return model->name != server.model;
+    });
+    if (other == models.end() || HasStaged(server, (*other)->name)) continue;
+    auto& staging_until = servers_[id].staging_until;
+    if (staging_until && now_ < *staging_until) continue;
+    if (!TakeLoad(1)) return;
+    staging_until = now_ + options_.forming_limit;
+    group_record stage;
+    stage.model = (*other)->name;
+    Order(id, formation_action::kStage, stage);
+  }
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/forward/caller_channel.cc
@@ -0,0 +1,98 @@
+#include "forward/caller_channel.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+namespace waxwingwing {
+
+using asio::ip::tcp;
+
+caller_channel::caller_channel(tcp::socket socket)
+    : socket_(std::move(socket)), sent_signal_(socket_.get_executor()) {
+  sent_signal_.expires_at(asio::steady_timer::time_point::max());
+  error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  socket_.non_blocking(true, ignored);
+}
+
+void caller_channel::Send(std::string bytes) {
+  if (gone_ || bytes.empty()) return;
+  std::size_t sent = 0;
+  if (unsent() == 0) {
+    error_code error;
+    sent = socket_.write_some(asio::buffer(bytes), error);
+    if (error && error != asio::error::would_block) return SetGone();
+    if (sent == bytes.size()) return;
+  }
+  unsent_.append(bytes, sent);
+  if (writing_.empty()) StartWrite();
+}
+
+void caller_channel::StartWrite() {
+  writing_.swap(unsent_);
+  auto self = shared_from_this();
+  asio::async_write(socket_, asio::buffer(writing_), [self](error_code error, std::size_t) {
+    self->writing_.clear();
+    if (error) self->SetGone();
+    if (!self->gone_ && !self->unsent_.empty()) self->StartWrite();
+    self->sent_signal_.cancel();
+  });
+}
+
+awaitable<bool> caller_channel::WaitUntilSent(std::size_t limit) {
+  while (!gone_ && unsent() > limit) {
+    error_code ignored;
+    co_await sent_signal_.async_wait(StoreError(ignored));
+  }
+  co_return !gone_;
+}
+
+void caller_channel::Watch(std::function<void()> on_gone) {
+  on_gone_ = std::move(on_gone);
+  // Bytes of a next request are already here, so the end of the connection cannot be seen.
+  if (!waiting_ && buffer_.size() == 0) StartWaiting();
+}
+
+void caller_channel::StartWaiting() {
+  waiting_ = true;
+  auto self = shared_from_this();
+  socket_.async_wait(tcp::socket::wait_read, [self](error_code error) {
+    self->waiting_ = false;
+    if (error || !self->on_gone_) return;
+    std::array<char, 1> byte{};
+    error_code failed;
+    self->socket_.receive(asio::buffer(byte), tcp::socket::message_peek, failed);
+    if (failed == asio::error::would_block) return self->StartWaiting();
+    if (failed) self->SetGone();
+  });
+}
+
+void caller_channel::StopWatching() { on_gone_ = nullptr; }
+
+void caller_channel::SetGone() {
+  if (gone_) return;
+  gone_ = true;
+  unsent_.clear();
+  sent_signal_.cancel();
+  const auto on_gone = std::exchange(on_gone_, nullptr);
+  if (on_gone) on_gone();
+}
+
+void caller_channel::Close() {
+  gone_ = true;
+  error_code ignored;
+  socket_.shutdown(tcp::socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  sent_signal_.cancel();
+}
+
+void caller_channel::Abort() {
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+  gone_ = true;
+  socket_.close(ignored);
+  sent_signal_.cancel();
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/forward/caller_channel.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "waxwingwing/platform/coroutine.h"
+
+namespace waxwingwing {
+
+/// The connection of one caller: sends without waiting, and notices when the caller leaves.
+class caller_channel : public std::enable_shared_from_this<caller_channel> {
+ public:
+  explicit caller_channel(asio::ip::tcp::socket socket);
+
+  asio::ip::tcp::socket& socket() { return socket_; }
+  boost::beast::flat_buffer& buffer() { return buffer_; }
+
+  /// Sends `bytes` after all earlier ones.
+  void Send(std::string bytes);
+  /// Waits until at most `limit` bytes are unsent; false when the caller is gone.
+  awaitable<bool> WaitUntilSent(std::size_t limit);
+  std::size_t unsent() const { return unsent_.size() + writing_.size(); }
+
+  /// Calls `on_gone` once when the caller closes the connection.
+  void Watch(std::function<void()> on_gone);
+  void StopWatching();
+  bool gone() const { return gone_; }
+
+  void Close();
+  /// Closes so that the caller cannot take the answer for complete.
+  void Abort();
+
+ private:
+  void StartWrite();
+  void StartWaiting();
+  void SetGone();
+
+  asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::string unsent_;
+  std::string writing_;
+  asio::steady_timer sent_signal_;
+  std::function<void()> on_gone_;
+  bool waiting_ = false;
+  bool gone_ = false;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/forward/forward_call.cc
@@ -0,0 +1,425 @@
+#include "forward/forward_call.h"
+
+#include <algorithm>
+#include <boost/beast/http/status.hpp>
+#include <cctype>
+#include <utility>
+
+#include "forward/http_text.h"
+#include "waxwingwing/core/hash.h"
+#include "waxwingwing/core/scope_guard.h"
+
+namespace waxwingwing {
+namespace {
+
+namespace http = boost::beast::http;
+
+/// Time that the way of an answer to the caller takes; a backend server stops that much earlier.
+constexpr milliseconds kAnswerTravelTime{10};
+/// Least time left with which a request is worth sending.
+constexpr milliseconds kMinTimeLeft{30};
+/// Highest urgency number that backend servers know.
+constexpr std::uint32_t kLeastUrgency = 9;
+/// Return of callers when a group or server is missing: a repair by a loaded spare takes about 0.6 s.
+constexpr milliseconds kRepairDelay{500};
+/// Return of callers when all servers are full: a stream runs for one to two seconds.
+constexpr milliseconds kFullDelay{400};
+/// Callers come back spread over this time.
+constexpr milliseconds kDelaySpread{500};
+
+std::string HostOf(const http_fields& fields) {
+  std::string host(fields[http::field::host]);
+  const std::size_t colon = host.rfind(':');
+  if (colon != std::string::npos && host.find(']', colon) == std::string::npos) host.resize(colon);
+  std::transform(host.begin(), host.end(), host.begin(),
+                 [](unsigned char letter) { return static_cast<char>(std::tolower(letter)); });
+  return host;
+}
+
+std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
+
+}  // namespace
+
+const std::array<forward_call::filter, 6> forward_call::kFilters = {
+    &forward_call::RequireConfiguration, &forward_call::ReadHeaders, &forward_call::FindRoute,
+    &forward_call::Identify,             &forward_call::ChooseService, &forward_call::CheckTime};
+
+forward_call::forward_call(forward_core& core, caller_channel& channel, caller_request request)
+    : core_(core),
+      channel_(channel),
+      request_(std::move(request)),
+      arrived_at_(core.Now()),
+      configuration_(core.configuration) {}
+
+forward_call::~forward_call() { channel_.StopWatching(); }
+
+awaitable<void> forward_call::Run() {
+  for (const filter step : kFilters) {
+    const auto refusal = (this->*step)();
+    if (!refusal) continue;
+    Refuse(*refusal);
+    co_return;
+  }
+  channel_.Watch([this] {
+    caller_left_ = true;
+    if (exchange_ != nullptr) exchange_->Cut(exchange_cut::kCallerLeft);
+  });
+  co_await Forward();
+  channel_.StopWatching();
+  if (channel_.gone()) keeps_connection_ = false;
+  if (keeps_connection_) keeps_connection_ = co_await channel_.WaitUntilSent(0);
+}
+
+std::optional<call_refusal> forward_call::RequireConfiguration() {
+  facts_ = core_.codec.ReadCall(request_.fields);
+  if (configuration_) return std::nullopt;
+  return call_refusal{503, "no_configuration", RetryDelay()};
+}
+
+std::optional<call_refusal> forward_call::ReadHeaders() {
+  if (!facts_.fault.empty()) return call_refusal{400, "malformed_header", {}};
+  if (!request_.target.starts_with('/')) return call_refusal{400, "malformed_target", {}};
+  if (request_.fields[http::field::host].empty()) return call_refusal{400, "no_host", {}};
+  return std::nullopt;
+}
+
+std::optional<call_refusal> forward_call::FindRoute() {
+  route_ = configuration_->Match(HostOf(request_.fields), PathOf(request_.target));
+  if (route_ != nullptr) return std::nullopt;
+  // A configuration that may be out of date does not prove that there is no route.
+  if (!core_.hooks.AreKeysCurrent()) return call_refusal{503, "stale_configuration", RetryDelay()};
+  return call_refusal{404, "no_route", {}};
+}
+
+std::optional<call_refusal> forward_call::Identify() {
+  if (route_->anonymous || !configuration_->NeedsKeys()) return std::nullopt;
+  if (!core_.hooks.AreKeysCurrent()) return call_refusal{503, "stale_keys", RetryDelay()};
+  organisation_ = configuration_->OrganisationOf(facts_.key);
+  if (organisation_ == nullptr) return call_refusal{401, "unknown_key", {}};
+  return std::nullopt;
+}
+
+std::optional<call_refusal> forward_call::ChooseService() {
+  double total = 0;
+  for (const service_share& share : route_->services) total += share.weight;
+  constexpr std::uint64_t kSteps = 1U << 20U;
+  const auto step = static_cast<double>(StableHash(facts_.id.str(), 1) % kSteps);
+  double point = total * step / static_cast<double>(kSteps);
+  for (const service_share& share : route_->services) {
+    service_ = share.service;
+    point -= share.weight;
+    if (point < 0) return std::nullopt;
+  }
+  if (!service_.empty()) return std::nullopt;
+  return call_refusal{503, "no_service", RetryDelay()};
+}
+
+std::optional<call_refusal> forward_call::CheckTime() {
+  const milliseconds allowed = std::min(facts_.deadline.value_or(route_->timeout), route_->timeout);
+  deadline_ = arrived_at_ + allowed;
+  last_event_ = facts_.last_event;
+  if (allowed >= kMinTimeLeft) return std::nullopt;
+  return call_refusal{503, "no_time_left", {}};
+}
+
+milliseconds forward_call::TimeLeft(time_point now) const {
+  return std::chrono::duration_cast<milliseconds>(deadline_ - now);
+}
+
+awaitable<void> forward_call::Forward() {
+  core_.retries.RecordRequest();
+  for (;;) {
+    const dispatch_candidate* selected = SelectServer();
+    if (selected == nullptr) co_return;
+    server_ = *selected;
+    tried_.insert(server_.server);
+    ++sends_;
+    server_exchange exchange(core_, PlanExchange(server_), *this);
+    exchange_ = &exchange;
+    const scope_guard forget([this] { exchange_ = nullptr; });
+    const exchange_end end = co_await exchange.Run();
+    const bool done = Conclude(exchange, end);
+    if (done) co_return;
+  }
+}
+
+const dispatch_candidate* forward_call::SelectServer() {
+  const time_point now = core_.Now();
+  if (caller_left_ || channel_.gone()) {
+    LogEnd("caller_left", 0, last_failure_);
+    keeps_connection_ = false;
+    return nullptr;
+  }
+  if (TimeLeft(now) < kMinTimeLeft) {
+    Fail(504, "deadline");
+    return nullptr;
+  }
+  const auto& candidates = core_.map->Candidates(service_, facts_.model);
+  const dispatch_candidate* selected =
+      core_.selection.Select(candidates, tried_, now, selection_failure_);
+  if (selected != nullptr) return selected;
+  if (head_sent_) {
+    BreakOff(NameOf(selection_failure_));
+  } else if (runs_ > 0) {
+    Fail(502, NameOf(selection_failure_));
+  } else {
+    Refuse({503, NameOf(selection_failure_), RetryDelay()});
+  }
+  return nullptr;
+}
+
+exchange_plan forward_call::PlanExchange(const dispatch_candidate& server) const {
+  const time_point now = core_.Now();
+  exchange_plan plan;
+  plan.target = server;
+  plan.id = facts_.id;
+  plan.head_only = request_.method == "HEAD";
+  plan.stream = route_->repeat == repeat_rule::kStream;
+  plan.last_event = last_event_;
+  plan.deadline = deadline_;
+  plan.first_limit = plan.stream ? duration(core_.options.first_event_limit)
+                                 : std::chrono::duration_cast<duration>(
+                                       route_->timeout * core_.options.repeat_after);
+  call_target target;
+  target.server = server.server;
+  target.time_left = std::max(TimeLeft(now) - kAnswerTravelTime, milliseconds(1));
+  target.last_event = last_event_;
+  const std::uint32_t priority = organisation_ != nullptr && organisation_->priority
+                                     ? *organisation_->priority
+                                     : route_->priority;
+  // A stream that already began must not wait behind new ones.
+  target.urgency = last_event_ ? 0 : std::min(priority, kLeastUrgency);
+  if (organisation_ != nullptr) target.organisation = organisation_->id;
+  http_fields fields = request_.fields;
+  RemoveConnectionFields(fields);
+  core_.codec.WriteCall(fields, target);
+  plan.request = WriteRequest(request_.method, request_.target, fields, request_.body);
+  return plan;
+}
+
+bool forward_call::CanMove() {
+  if (!route_->MayRepeat() || runs_ + 1 >= route_->max_attempts) return false;
+  if (sends_ >= core_.options.max_sends) return false;
+  const auto& candidates = core_.map->Candidates(service_, facts_.model);
+  if (!core_.selection.HasOther(candidates, tried_, core_.Now())) return false;
+  return core_.retries.TryTake();
+}
+
+bool forward_call::MayTryAgain(bool may_have_run) const {
+  if (sends_ >= core_.options.max_sends) return false;
+  if (!may_have_run) return true;
+  return route_->MayRepeat() && runs_ < route_->max_attempts;
+}
+
+bool forward_call::Conclude(server_exchange& exchange, exchange_end end) {
+  last_failure_ = exchange.failure();
+  if (exchange.last_event()) last_event_ = exchange.last_event();
+  if (end == exchange_end::kNotSent) {
+    core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "not_sent"}}).Increment();
+    if (MayTryAgain(false)) return false;
+    if (head_sent_) {
+      BreakOff("unreachable");
+    } else if (runs_ > 0) {
+      Fail(502, "unreachable");
+    } else {
+      Refuse({503, "unreachable", RetryDelay()});
+    }
+    return true;
+  }
+  if (end == exchange_end::kComplete) return ConcludeAnswer(exchange);
+  ++runs_;
+  return ConcludeBroken(exchange.cut());
+}
+
+bool forward_call::ConcludeAnswer(server_exchange& exchange) {
+  server_answer& answer = exchange.answer();
+  if (answer.facts.not_executed || answer.facts.wrong_server) {
+    return ConcludeNotExecuted(answer, server_);
+  }
+  ++runs_;
+  if (exchange.passes_events()) {
+    if (!head_sent_) OnEvents(answer, {});
+    EndStream();
+    return true;
+  }
+  const bool success = answer.status >= 200 && answer.status < 300;
+  const bool whole = answer.facts.authentic && !answer.facts.encoded && !answer.facts.id.empty();
+  if (success && !whole) {
+    last_failure_ = "the answer is not the server's own";
+    return ConcludeBroken(exchange_cut::kNone);
+  }
+  const bool repeat = answer.status >= 500 && MayTryAgain(true) && CanMoveNow();
+  if (repeat) {
+    core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "server_error"}}).Increment();
+    return false;
+  }
+  if (head_sent_) {
+    BreakOff("server_error");
+  } else {
+    PassAnswer(answer);
+  }
+  return true;
+}
+
+bool forward_call::ConcludeNotExecuted(const server_answer& answer,
+                                       const dispatch_candidate& server) {
+  const time_point now = core_.Now();
+  const bool broken_group = !answer.facts.blamed.empty() && !server.group.empty();
+  const bool misplaced = answer.facts.wrong_server || broken_group;
+  core_.selection.LoadOf(server.server)
+      .Suspend(now + (misplaced ? core_.options.suspension : core_.options.full_suspension));
+  if (broken_group) core_.ReportStall(server, "server_blames_member", duration::zero());
+  const char* reason = misplaced ? "wrong_server" : "server_full";
+  core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
+  if (MayTryAgain(false) && core_.retries.TryTake()) return false;
+  if (head_sent_) {
+    BreakOff(reason);
+  } else if (runs_ > 0) {
+    Fail(502, reason);
+  } else {
+    Refuse({503, reason, RetryDelay()});
+  }
+  return true;
+}
+
+bool forward_call::CanMoveNow() {
+  const auto& candidates = core_.map->Candidates(service_, facts_.model);
+  return core_.selection.HasOther(candidates, tried_, core_.Now()) && core_.retries.TryTake();
+}
+
+bool forward_call::ConcludeBroken(exchange_cut cut) {
+  if (cut == exchange_cut::kCallerLeft || caller_left_ || channel_.gone()) {
+    LogEnd("caller_left", 0, last_failure_);
+    keeps_connection_ = false;
+    return true;
+  }
+  if (cut == exchange_cut::kDeadline) {
+    if (head_sent_) {
+      BreakOff("deadline");
+    } else {
+      Fail(504, "deadline");
+    }
+    return true;
+  }
+  // A cut for a limit or a stall has already taken its retry.
+  const bool moved = cut != exchange_cut::kNone;
+  const char* reason = moved ? NameOf(cut) : "broken";
+  if (MayTryAgain(true) && (moved || CanMoveNow())) {
+    core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
+    core_.log.Write("request_moved",
+                    {{"request", facts_.id.str()},
+                     {"from", server_.server.str()},
+                     {"reason", reason},
+                     {"failure", last_failure_},
+                     {"last_event", last_event_.value_or(0)},
+                     {"age_ms", core_.Now() - arrived_at_}});
+    return false;
+  }
+  if (head_sent_) {
+    BreakOff(reason);
+  } else {
+    Fail(502, reason);
+  }
+  return true;
+}
+
+bool forward_call::Closes() const { return core_.shutting_down || !request_.keep_alive; }
+
+void forward_call::OnEvents(const server_answer& answer, std::string_view events) {
+  std::string bytes;
+  if (!head_sent_) {
+    head_sent_ = true;
+    first_event_after_ = core_.Now() - arrived_at_;
+    http_fields fields = answer.fields;
+    RemoveConnectionFields(fields);
+    bytes = WriteAnswerHead(answer.status, answer.reason, fields, std::nullopt, !Closes());
+    if (Closes()) keeps_connection_ = false;
+  }
+  if (!events.empty()) bytes += WriteChunk(events);
+  channel_.Send(std::move(bytes));
+}
+
+awaitable<bool> forward_call::WaitForCaller() {
+  if (channel_.unsent() <= core_.options.caller_buffer) co_return !channel_.gone();
+  co_return co_await channel_.WaitUntilSent(core_.options.caller_buffer / 2);
+}
+
+void forward_call::EndStream() {
+  channel_.Send(std::string(kLastChunk));
+  LogEnd("answered", 200, {});
+}
+
+void forward_call::PassAnswer(server_answer& answer) {
+  RemoveConnectionFields(answer.fields);
+  if (Closes()) keeps_connection_ = false;
+  std::string bytes = WriteAnswerHead(answer.status, answer.reason, answer.fields,
+                                      answer.body.size(), keeps_connection_);
+  if (request_.method != "HEAD") bytes += answer.body;
+  channel_.Send(std::move(bytes));
+  LogEnd(answer.status < 300 ? "answered" : "server_failed", answer.status, last_failure_);
+}
+
+milliseconds forward_call::RetryDelay() const {
+  const milliseconds base =
+      selection_failure_ == selection_failure::kAllFull ? kFullDelay : kRepairDelay;
+  const auto spread = StableHash(facts_.id.str(), 2) % static_cast<std::uint64_t>(
+                                                           kDelaySpread.count());
+  return base + milliseconds(static_cast<milliseconds::rep>(spread));
+}
+
+void forward_call::Refuse(const call_refusal& refusal) {
+  http_fields fields;
+  core_.codec.WriteRefusal(fields, facts_.id, refusal.retry_after);
+  fields.set(http::field::content_type, "application/json");
+  const std::string body = "{\"error\":\"" + std::string(refusal.reason) + "\"}";
+  if (Closes()) keeps_connection_ = false;
+  const auto name = http::obsolete_reason(static_cast<http::status>(refusal.status));
+  std::string bytes = WriteAnswerHead(refusal.status, {name.data(), name.size()}, fields,
+                                      body.size(), keeps_connection_);
+  if (request_.method != "HEAD") bytes += body;
+  channel_.Send(std::move(bytes));
+  core_.metrics.Counter("waxwingwing_refusals_total", {{"reason", std::string(refusal.reason)}})
+      .Increment();
+  LogEnd("refused", refusal.status, refusal.reason);
+}
+
+void forward_call::Fail(unsigned status, std::string_view reason) {
+  Refuse({status, reason, std::nullopt});
+}
+
+void forward_call::BreakOff(std::string_view reason) {
+  keeps_connection_ = false;
+  channel_.Close();
+  core_.metrics.Counter("waxwingwing_broken_answers_total", {{"reason", std::string(reason)}})
+      .Increment();
+  LogEnd("broken_off", 0, reason);
+}
+
+void forward_call::LogEnd(std::string_view outcome, unsigned status, std::string_view reason) {
+  const duration took = core_.Now() - arrived_at_;
+  core_.metrics.Summary("waxwingwing_request_seconds", {{"outcome", std::string(outcome)}})
+      .Observe(std::chrono::duration<double>(took).count());
+  const bool routine = outcome == "answered" && sends_ <= 1;
+  core_.log.Write(
+      "request_ended",
+      {{"request", facts_.id.str()},
+       {"outcome", outcome},
+       {"status", status},
+       {"reason", reason},
+       {"failure", last_failure_},
+       {"route", route_ == nullptr ? std::string_view() : std::string_view(route_->name)},
+       {"model", facts_.model},
+       {"server", server_.server.str()},
+       {"group", server_.group.str()},
+       {"sends", sends_},
+       {"runs", runs_},
+       {"last_event", last_event_.value_or(0)},
+       {"first_event_ms", first_event_after_.value_or(duration::zero())},
+       {"took_ms", took},
+       {"configuration", configuration_ ? configuration_->version : 0},
+       {"configuration_age_ms", core_.hooks.ConfigurationAge()},
+       {"directory_age_ms", core_.hooks.DirectoryAge()}},
+      routine ? event_log::importance::kRoutine : event_log::importance::kNeeded);
+}
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/forward/forward_core.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <set>
+
+#include "forward/server_pool.h"
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/dispatch/dispatch_map.h"
+#include "waxwingwing/dispatch/server_selection.h"
+#include "waxwingwing/directory/traffic_configuration.h"
+#include "waxwingwing/forward/call_codec.h"
+#include "waxwingwing/forward/forward_options.h"
+#include "waxwingwing/forward/forwarder.h"
+#include "waxwingwing/logging/event_log.h"
+#include "waxwingwing/metrics/metrics_registry.h"
+#include "waxwingwing/routing/retry_budget.h"
+
+namespace waxwingwing {
+
+class server_exchange;
+
+/// What all calls share. Used from one thread.
+struct forward_core {
+  forward_core(const forward_dependencies& given, const forward_options& chosen);
+
+  time_point Now() const { return clock.Now(); }
+  /// The server's streams stand still, or it rejects requests because of another server.
+  void ReportStall(const dispatch_candidate& server, std::string_view evidence, duration silence);
+
+  asio::io_context& context;
+  const runtime_clock& clock;
+  const call_codec& codec;
+  server_selection& selection;
+  retry_budget& retries;
+  event_log& log;
+  metrics_registry& metrics;
+  forward_hooks& hooks;
+  const forward_options options;
+  server_pool pool;
+
+  std::shared_ptr<const traffic_configuration> configuration;
+  std::shared_ptr<const dispatch_map> map = std::make_shared<dispatch_map>();
+  /// Exchanges under way; checked by the ticker.
+  std::set<server_exchange*> exchanges;
+  bool shutting_down = false;
+};
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/forward/forwarder.cc
@@ -0,0 +1,202 @@
+#include "waxwingwing/forward/forwarder.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <set>
+#include <vector>
+
+#include "forward/call_session.h"
+#include "forward/forward_core.h"
+#include "waxwingwing/platform/ip_endpoint.h"
+
+namespace waxwingwing {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr int kBacklog = 1024;
+/// Out of descriptors, for example: accepting at once again would only burn time.
+constexpr milliseconds kPauseAfterError{50};
+/// How often idle connections are looked through.
+constexpr milliseconds kSweepInterval{500};
+
+}  // namespace
+
+forward_core::forward_core(const forward_dependencies& given, const forward_options& chosen)
+    : context(given.context),
+      clock(given.clock),
+      codec(given.codec),
+      selection(given.selection),
+      retries(given.retries),
+      log(given.log),
+      metrics(given.metrics),
+      hooks(given.hooks),
+      options(chosen),
+      pool(options) {}
+
+void forward_core::ReportStall(const dispatch_candidate& server, std::string_view evidence,
+                               duration silence) {
+  server_load& load = selection.LoadOf(server.server);
+  const time_point now = Now();
+  if (load.IsSuspended(now)) return;
+  load.Suspend(now + options.suspension);
+  metrics.Counter("waxwingwing_stalls_total", {{"evidence", std::string(evidence)}}).Increment();
+  log.Write("group_stalled", {{"group", server.group.str()},
+                              {"server", server.server.str()},
+                              {"evidence", evidence},
+                              {"silence_ms", silence},
+                              {"limit_ms", load.SilenceLimit()},
+                              {"running", load.running()},
+                              {"waiting", load.waiting()}});
+  if (!server.group.empty()) hooks.OnStall(server.group, server.server);
+}
+
+class forwarder::implementation {
+ public:
+  implementation(const forward_dependencies& dependencies, const forward_options& options)
+      : core_(dependencies, options),
+        acceptor_(core_.context),
+        ticker_(core_.context),
+        sweeper_(core_.context) {}
+  implementation(const implementation&) = delete;
+  implementation& operator=(const implementation&) = delete;
+
+  result<std::string> Start(const std::string& address) {
+    using failed = result<std::string>;
+    const auto endpoint = ParseIpEndpoint(address);
+    if (!endpoint) return failed::Failure(endpoint.reason());
+    error_code error;
+    acceptor_.open(endpoint->protocol(), error);
+    if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error) acceptor_.bind(*endpoint, error);
+    if (!error) acceptor_.listen(kBacklog, error);
+    if (error) return failed::Failure(address + ": " + error.message());
+    asio::co_spawn(core_.context, Accept(), asio::detached);
+    asio::co_spawn(core_.context, Sweep(), asio::detached);
+    const tcp::endpoint bound = acceptor_.local_endpoint(error);
+    return bound.address().to_string() + ":" + std::to_string(bound.port());
+  }
+
+  void StopAccepting() {
+    error_code ignored;
+    acceptor_.close(ignored);
+    for (call_session* session : Sessions()) session->CloseIfIdle();
+  }
+
+  std::size_t RunningCalls() const {
+    std::size_t running = 0;
+    for (const call_session* session : sessions_) running += session->serves_call() ? 1 : 0;
+    return running;
+  }
+
+  forward_core& core() { return core_; }
+  const forward_core& core() const { return core_; }
+  std::size_t connections() const { return sessions_.size(); }
+  std::uint64_t calls_seen() const { return connections_accepted_; }
+
+ private:
+  std::vector<call_session*> Sessions() const { return {sessions_.begin(), sessions_.end()}; }
+
+  awaitable<void> Accept() {
+    asio::steady_timer pause(core_.context);
+    while (acceptor_.is_open()) {
+      tcp::socket socket(core_.context);
+      error_code error;
+      co_await acceptor_.async_accept(socket, StoreError(error));
+      if (!error) {
+        if (sessions_.size() >= core_.options.max_callers) continue;
+        ++connections_accepted_;
+        asio::co_spawn(core_.context, Serve(std::move(socket)), asio::detached);
+        StartTicking();
+        continue;
+      }
+      if (!acceptor_.is_open()) co_return;
+      pause.expires_after(kPauseAfterError);
+      co_await pause.async_wait(StoreError(error));
+    }
+  }
+
+  awaitable<void> Serve(tcp::socket socket) {
+    const auto session = std::make_shared<call_session>(core_, std::move(socket));
+    sessions_.insert(session.get());
+    co_await session->Run();
+    sessions_.erase(session.get());
+  }
+
+  awaitable<void> Sweep() {
+    for (;;) {
+      sweeper_.expires_after(kSweepInterval);
+      error_code error;
+      co_await sweeper_.async_wait(StoreError(error));
+      if (error) co_return;
+      const time_point now = core_.Now();
+      for (call_session* session : Sessions()) session->CloseIfExpired(now);
+      core_.pool.CloseExpired(now);
+    }
+  }
+
+  /// Ticks while calls may be under way, so that an idle process does not wake.
+  void StartTicking() {
+    if (ticking_) return;
+    ticking_ = true;
+    Tick();
+  }
+
+  void Tick() {
+    ticker_.expires_after(core_.options.tick);
+    ticker_.async_wait([this](error_code error) {
+      if (error) return;
+      const time_point now = core_.Now();
+      const std::vector<server_exchange*> exchanges(core_.exchanges.begin(),
+                                                    core_.exchanges.end());
+      for (server_exchange* exchange : exchanges) {
+        if (core_.exchanges.contains(exchange)) exchange->Check(now);
+      }
+      if (sessions_.empty()) {
+        ticking_ = false;
+        return;
+      }
+      Tick();
+    });
+  }
+
+  forward_core core_;
+  tcp::acceptor acceptor_;
+  asio::steady_timer ticker_;
+  asio::steady_timer sweeper_;
+  std::set<call_session*> sessions_;
+  std::uint64_t connections_accepted_ = 0;
+  bool ticking_ = false;
+};
+
+forwarder::forwarder(const forward_dependencies& dependencies, const forward_options& options)
+    : implementation_(std::make_unique<implementation>(dependencies, options)) {}
+
+forwarder::~forwarder() = default;
+
+result<std::string> forwarder::Start(const std::string& address) {
+  return implementation_->Start(address);
+}
+
+void forwarder::SetConfiguration(std::shared_ptr<const traffic_configuration> configuration) {
+  implementation_->core().configuration = std::move(configuration);
+}
+
+void forwarder::SetMap(std::shared_ptr<const dispatch_map> map) {
+  implementation_->core().map = std::move(map);
+}
+
+void forwarder::BeginShutdown() { implementation_->core().shutting_down = true; }
+
+void forwarder::StopAccepting() { implementation_->StopAccepting(); }
+
+std::size_t forwarder::RunningCalls() const { return implementation_->RunningCalls(); }
+
+std::size_t forwarder::Connections() const { return implementation_->connections(); }
+
+std::uint64_t forwarder::CallsSeen() const { return implementation_->calls_seen(); }
+
+}  // namespace waxwingwing
--- /dev/null
+++ b/src/forward/server_pool.cc
@@ -0,0 +1,51 @@
+#include "forward/server_pool.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace waxwingwing {
+namespace {
+
+/// Whether the server has neither closed the connection nor sent anything that no request asked for.
+bool IsQuiet(server_connection& connection) {
+  std::array<char, 1> byte{};
+  error_code error;
+  connection.socket.receive(asio::buffer(byte), asio::ip::tcp::socket::message_peek, error);
+  return error == asio::error::would_block;
+}
+
+}  // namespace
+
+std::unique_ptr<server_connection> server_pool::Take(const std::string& address, time_point now) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return nullptr;
+  auto& connections = found->second;
+  while (!connections.empty()) {
+    std::unique_ptr<server_connection> newest = std::move(connections.back());
+    connections.pop_back();
+    if (now >= newest->usable_until || !IsQuiet(*newest)) continue;
+    newest->reused = true;
+    return newest;
+  }
+  return nullptr;
+}
+
+void server_pool::Keep(const std::string& address, std::unique_ptr<server_connection> connection,
+                       std::optional<milliseconds> idle_limit, time_point now) {
+  const milliseconds limit = idle_limit.value_or(options_.idle_connection_limit);
+  if (limit <= options_.idle_margin) return;
+  connection->usable_until = now + (limit - options_.idle_margin);
+  auto& connections = idle_[address];
+  connections.push_back(std::move(connection));
+  if (connections.size() > options_.max_idle_connections) connections.pop_front();
+}
+
+void server_pool::CloseExpired(time_point now) {
+  for (auto& [address, connections] : idle_) {
+    std::erase_if(connections, [&](const auto& idle) { return now >= idle->usable_until; });
+  }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+}  // namespace waxwingwing
--- a/src/gateway/answer_sink.h
+++ b/src/gateway/answer_sink.h
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "gateway/coroutine.h"
+#include "waxwingwing/platform/coroutine.h"
 #include "gateway/refusal.h"
 #include "waxwingwing/streaming/engine_stream.h"
 
--- a/src/gateway/async_event.h
+++ b/src/gateway/async_event.h
@@ -2,7 +2,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "gateway/coroutine.h"
+#include "waxwingwing/platform/coroutine.h"
 #include "waxwingwing/core/clock.h"
 
 namespace waxwingwing {
--- a/src/gateway/backend_calls.h
+++ b/src/gateway/backend_calls.h
@@ -3,7 +3,7 @@
 #include <optional>
 #include <string>
 
-#include "gateway/coroutine.h"
+#include "waxwingwing/platform/coroutine.h"
 #include "gateway/gateway_core.h"
 #include "gateway/http_types.h"
 
--- a/src/gateway/http_types.h
+++ b/src/gateway/http_types.h
@@ -8,7 +8,7 @@
 #include <string_view>
 #include <vector>
 
-#include "gateway/coroutine.h"
+#include "waxwingwing/platform/coroutine.h"
 
 namespace waxwingwing {
 
--- a/src/gateway/request_filter.h
+++ b/src/gateway/request_filter.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/coroutine.h"
+#include "waxwingwing/platform/coroutine.h"
 #include "gateway/request_context.h"
 
 namespace waxwingwing {
--- a/src/program/main.cc
+++ b/src/program/main.cc
@@ -7,12 +7,14 @@
 #include "waxwingwing/cli/operator_command.h"
 #include "waxwingwing/daemon/serve.h"
 #include "waxwingwing/daemon/settings.h"
+#include "waxwingwing/entry/entry_daemon.h"
 
 namespace {
 
 constexpr const char* kUsage =
     "usage: waxwingwing <command> [flags]\n"
     "\n"
+    "  entry    run an entry VM on the users' platform\n"
     "  serve    run an entry VM's daemon\n"
     "  apply    publish a release note and wait for its verdict\n"
     "  status   show failure domains, model groups, organisations and refusals\n"
@@ -31,6 +33,12 @@
   return 0;
 }
 
+int RunEntryCommand(const std::vector<std::string>& arguments) {
+  if (!WantsHelp(arguments)) return waxwingwing::RunEntry(arguments);
+  std::cout << "usage: waxwingwing entry [flags]\n" << waxwingwing::DescribeEntryFlags();
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -41,6 +49,9 @@
     (arguments.empty() ? std::cerr : std::cout) << kUsage;
     return arguments.empty() ? 2 : 0;
   }
+  if (arguments.front() == "entry") {
+    return RunEntryCommand({arguments.begin() + 1, arguments.end()});
+  }
   if (arguments.front() == "serve") {
     return RunServe({arguments.begin() + 1, arguments.end()});
   }
