forward: move streams only after a silence that does not pass

Cause: a pass of a group that reads several prompts is silent for 150 ms, so streams were moved for nothing, their prompts were read again elsewhere, and that silenced the next group. Refusals of servers that do not state that nothing ran become 502 for calls that may run once.

--- a/include/waxwingwing/forward/forward_options.h
+++ b/include/waxwingwing/forward/forward_options.h
@@ -20,6 +20,9 @@
   /// Streams whose first event does not come within this time are tried elsewhere; callers leave
   /// after 2 s.
   milliseconds first_event_limit{900};
+  /// Silence of a server's streams after which they are moved. A stream that moves is late in any
+  /// case, so a silence that passes by itself must not move it; callers leave after 2 s.
+  milliseconds move_limit{500};
   /// Part of a route's timeout after which an idempotent request is tried elsewhere.
   double repeat_after = 0.45;
   /// How long a server that could not be reached, or stands still, gets nothing.
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -151,21 +151,14 @@
     return nullptr;
   }
   if (TimeLeft(now) < kMinTimeLeft) {
-    Fail(504, "deadline");
+    GiveUp(504, "deadline");
     return nullptr;
   }
   const auto& candidates = core_.map->Candidates(service_, facts_.model);
   const dispatch_candidate* selected =
       core_.selection.Select(candidates, tried_, now, selection_failure_);
-  if (selected != nullptr) return selected;
-  if (head_sent_) {
-    BreakOff(NameOf(selection_failure_));
-  } else if (runs_ > 0) {
-    Fail(502, NameOf(selection_failure_));
-  } else {
-    Refuse({503, NameOf(selection_failure_), RetryDelay()});
-  }
-  return nullptr;
+  if (selected == nullptr) GiveUp(502, NameOf(selection_failure_));
+  return selected;
 }
 
 exchange_plan forward_call::PlanExchange(const dispatch_candidate& server) const {
@@ -217,13 +210,7 @@
   if (end == exchange_end::kNotSent) {
     core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "not_sent"}}).Increment();
     if (MayTryAgain(false)) return false;
-    if (head_sent_) {
-      BreakOff("unreachable");
-    } else if (runs_ > 0) {
-      Fail(502, "unreachable");
-    } else {
-      Refuse({503, "unreachable", RetryDelay()});
-    }
+    GiveUp(502, "unreachable");
     return true;
   }
   if (end == exchange_end::kComplete) return ConcludeAnswer(exchange);
@@ -248,6 +235,12 @@
     last_failure_ = "the answer is not the server's own";
     return ConcludeBroken(exchange_cut::kNone);
   }
+  const bool promises = answer.status == 408 || answer.status == 429 || answer.status == 503;
+  if (promises && route_->repeat != repeat_rule::kIdempotent) {
+    // Callers take these for "not run", which the server has not stated.
+    last_failure_ = "a refusal that does not state that nothing ran";
+    return ConcludeBroken(exchange_cut::kNone);
+  }
   const bool repeat = answer.status >= 500 && MayTryAgain(true) && CanMoveNow();
   if (repeat) {
     core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "server_error"}}).Increment();
@@ -272,13 +265,7 @@
   const char* reason = misplaced ? "wrong_server" : "server_full";
   core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
   if (MayTryAgain(false) && core_.retries.TryTake()) return false;
-  if (head_sent_) {
-    BreakOff(reason);
-  } else if (runs_ > 0) {
-    Fail(502, reason);
-  } else {
-    Refuse({503, reason, RetryDelay()});
-  }
+  GiveUp(502, reason);
   return true;
 }
 
@@ -294,11 +281,7 @@
     return true;
   }
   if (cut == exchange_cut::kDeadline) {
-    if (head_sent_) {
-      BreakOff("deadline");
-    } else {
-      Fail(504, "deadline");
-    }
+    GiveUp(504, "deadline");
     return true;
   }
   // A cut for a limit or a stall has already taken its retry.
@@ -315,11 +298,7 @@
                      {"age_ms", core_.Now() - arrived_at_}});
     return false;
   }
-  if (head_sent_) {
-    BreakOff(reason);
-  } else {
-    Fail(502, reason);
-  }
+  GiveUp(502, reason);
   return true;
 }
 
@@ -383,8 +362,10 @@
   LogEnd("refused", refusal.status, refusal.reason);
 }
 
-void forward_call::Fail(unsigned status, std::string_view reason) {
-  Refuse({status, reason, std::nullopt});
+void forward_call::GiveUp(unsigned status, std::string_view reason) {
+  if (head_sent_) return BreakOff(reason);
+  if (runs_ > 0) return Refuse({status, reason, std::nullopt});
+  Refuse({503, reason, RetryDelay()});
 }
 
 void forward_call::BreakOff(std::string_view reason) {
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -68,7 +68,9 @@
   void PassAnswer(server_answer& answer);
   void EndStream();
   void Refuse(const call_refusal& refusal);
-  void Fail(unsigned status, std::string_view reason);
+  /// Ends a request that no server can answer: with "not run" while that is certain, with `status`
+  /// when it may have run, and by breaking off an answer that has begun.
+  void GiveUp(unsigned status, std::string_view reason);
   /// Ends the answer in a way that the caller cannot take for complete.
   void BreakOff(std::string_view reason);
   void LogEnd(std::string_view outcome, unsigned status, std::string_view reason);
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -245,7 +245,8 @@
     core_.ReportStall(plan_.target, streams_silent ? "streams_silent" : "nothing_begins",
                       streams_silent ? silence : now - *sent_at_);
   }
-  if (receiver_.CanMove()) Cut(exchange_cut::kStall);
+  const bool moves = streams_silent && silence > std::max<duration>(core_.options.move_limit, limit);
+  if (moves && receiver_.CanMove()) Cut(exchange_cut::kStall);
 }
 
 }  // namespace waxwingwing
