formation: tell a dead head from one that is cut off, and follow registrations by long reads

Cause: after a cut of a failure domain its servers register again one after the other; a head that was neither registered nor answering counted as dead, and members of an adopted group that registered late counted as free, so both were joined to other groups while the head was open (TWO). Change: a head counts as dead only when other members of its group answer and it does not; members of adopted groups are filled in; groups under release count as present.

--- a/include/waxwingwing/directory/server_directory.h
+++ b/include/waxwingwing/directory/server_directory.h
@@ -47,6 +47,8 @@
   /// Applies removals that are due; returns what was removed.
   std::vector<backend_server_id> ApplyDueRemovals(time_point now);
 
+  bool HasPendingRemovals() const;
+
   const entry* Find(const backend_server_id& id) const;
   const std::map<backend_server_id, entry>& entries() const { return entries_; }
   /// Changes with each change that matters to routing or planning.
--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -21,8 +21,11 @@
 struct group_planner_options {
   /// Spare servers that each fabric domain keeps loaded; one for each of two models.
   std::size_t spares = 2;
-  /// Time after which an order without an answer is sent again; longer than its time limit.
-  milliseconds order_retry{500};
+  /// Time after which an order without an answer or an effect is sent again; longer than its time
+  /// limit and than the opening of a group.
+  milliseconds order_retry{600};
+  /// The same after an answer that the order was not carried out.
+  milliseconds rejected_retry{120};
   /// Longest time from the first join to the opening; a load takes up to 16 s.
   milliseconds forming_limit{40000};
   /// Time that a member has to accept its join; an order that is not answered may be carried out up
@@ -32,10 +35,16 @@
   milliseconds closing_limit{9000};
   /// How often a member is asked while its condition is in doubt.
   milliseconds probe_interval{250};
+  /// How often a server that did not answer is asked again.
+  milliseconds silent_probe_interval{1000};
   /// How long a reported stall keeps a group in doubt; a group that stands still breaks after 6 s.
   milliseconds doubt_time{1500};
-  /// A head that is neither registered nor answering for this time is taken for dead.
-  milliseconds dead_head_time{800};
+  /// A head is taken for dead when it is not registered and does not answer this many probes in
+  /// this time, while other members of its group answer.
+  std::uint32_t dead_head_probes = 3;
+  milliseconds dead_head_time{600};
+  /// Servers that were cut off together register again within this time of each other.
+  milliseconds return_time{3000};
   /// How long servers that just registered may wait for the rest of their fabric domain.
   milliseconds settle_time{400};
   /// Loads that may begin within `load_window`; the platform's limit is 5.5 a second.
@@ -94,9 +103,16 @@
     /// Last registered address.
     std::string address;
     std::optional<time_point> order_sent_at;
-    bool order_pending = false;
+    /// Earliest time of the next order.
+    std::optional<time_point> order_after;
     std::optional<time_point> probed_at;
-    bool probe_pending = false;
+    /// Since when the server is registered without a break, or is not.
+    std::optional<time_point> listed_since;
+    std::optional<time_point> unlisted_since;
+    /// When another member of its group was first seen to answer after it was not registered.
+    std::optional<time_point> outlived_since;
+    /// When nothing listened at its address.
+    std::optional<time_point> refused_at;
     /// Probes without an answer since the last answer.
     std::uint32_t silent_probes = 0;
     std::optional<time_point> silent_since;
@@ -109,6 +125,16 @@
   };
 
   enum class member_condition { kPresent, kDraining, kUnlisted, kLost };
+  enum class head_condition {
+    kListed,
+    /// Not registered, but it answers.
+    kCutOff,
+    /// Neither registered nor answering; it may be cut off with its whole fabric domain and still
+    /// serve there.
+    kUnknown,
+    /// Certainly gone, or in another group.
+    kOut,
+  };
 
   void ObserveServers();
   void AdoptGroups();
@@ -118,7 +144,11 @@
   void AdvanceServing(group_record& group);
   void AdvanceClosing(group_record& group);
   void AdvanceReleasing(group_record& group);
-  bool IsHeadOut(const group_record& group);
+  head_condition ConditionOfHead(const group_record& group);
+  head_condition ConditionOfUnlistedHead(const group_record& group);
+  void ProbeMembers(const group_record& group);
+  void ProbeSilentServers();
+  void FillMembers(group_record& group, const group_view& view);
   void StartReleasing(group_record& group);
   member_condition ConditionOf(const group_record& group, std::size_t rank);
   bool IsDoubted(const group_record& group) const;
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -61,6 +61,11 @@
   return removed;
 }
 
+bool server_directory::HasPendingRemovals() const {
+  return std::any_of(entries_.begin(), entries_.end(),
+                     [](const auto& item) { return item.second.removal_at.has_value(); });
+}
+
 const server_directory::entry* server_directory::Find(const backend_server_id& id) const {
   const auto found = entries_.find(id);
   return found == entries_.end() ? nullptr : &found->second;
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -9,13 +9,13 @@
 namespace {
 
 /// A member that is silent this long loses its parts: two calls may be lost.
-constexpr milliseconds kMemberLifetime{2000};
-constexpr milliseconds kRenewInterval{650};
-constexpr milliseconds kRetryPause{150};
+constexpr milliseconds kMemberLifetime{1200};
+constexpr milliseconds kRenewInterval{350};
+constexpr milliseconds kRetryPause{120};
 /// For how long an answer is trusted, from when it was asked for.
-constexpr milliseconds kTrustTime{1300};
-/// Wait of a new holder: the trust of an old one, and the time of its last order.
-constexpr milliseconds kTakeoverWait{1800};
+constexpr milliseconds kTrustTime{900};
+/// Wait of a new holder: the trust of an old one, and the way of its last order.
+constexpr milliseconds kTakeoverWait{1100};
 
 }  // namespace
 
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -8,13 +8,15 @@
 namespace waxwingwing {
 namespace {
 
-/// Servers change their registration every 1.2 s; what changes in between shows on requests.
-constexpr milliseconds kUsualInterval{900};
+/// Longest wait of one read; the store answers as soon as a registration changes.
+constexpr milliseconds kReadWait{4000};
+/// Least time between reads: many servers register at once, and groups change together.
+constexpr milliseconds kReadInterval{60};
 constexpr milliseconds kRetryPause{200};
 /// After the store was away, servers that live are registered again within this time.
 constexpr milliseconds kReturnTime{2500};
 /// A gap in the reads after which removals may stem from an outage of the store.
-constexpr milliseconds kOutageGap{2200};
+constexpr milliseconds kOutageGap{6000};
 
 }  // namespace
 
@@ -23,25 +25,12 @@
     : entry_(entry),
       store_(store),
       on_change_(std::move(on_change)),
-      health_(entry, "server_registrations"),
-      pause_(entry.context),
-      interval_(kUsualInterval) {}
-
-void directory_controller::SetInterval(duration interval) {
-  const duration next = std::min<duration>(interval, kUsualInterval);
-  const bool sooner = next < interval_;
-  interval_ = next;
-  if (sooner) pause_.Wake();
-}
+      health_(entry, "server_registrations") {}
 
 awaitable<void> directory_controller::Run() {
   for (;;) {
     const bool read = offset_ ? co_await ReadOn() : co_await ReadAll();
-    if (read) {
-      co_await pause_.Wait(interval_);
-    } else {
-      co_await Pause(entry_.context, kRetryPause);
-    }
+    co_await Pause(entry_.context, read ? kReadInterval : kRetryPause);
   }
 }
 
@@ -52,6 +41,11 @@
   return health_.is_lost() || was_away || just_back ? duration(kReturnTime) : duration::zero();
 }
 
+milliseconds directory_controller::ReadWait() const {
+  // Removals that are held back must not wait for the next change.
+  return entry_.state.directory.HasPendingRemovals() ? milliseconds(300) : kReadWait;
+}
+
 awaitable<bool> directory_controller::ReadAll() {
   const time_point sent_at = entry_.clock.Now();
   const auto page = co_await store_.ReadNewest(store_stream::kServers);
@@ -75,7 +69,7 @@
 
 awaitable<bool> directory_controller::ReadOn() {
   const time_point sent_at = entry_.clock.Now();
-  const auto page = co_await store_.ReadFrom(store_stream::kServers, *offset_, milliseconds(0));
+  const auto page = co_await store_.ReadFrom(store_stream::kServers, *offset_, ReadWait());
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -17,8 +17,6 @@
   directory_controller(entry_context& entry, store_client& store, std::function<void()> on_change);
 
   awaitable<void> Run();
-  /// How often the registrations are read; shorter while a change is awaited.
-  void SetInterval(duration interval);
 
  private:
   awaitable<bool> ReadAll();
@@ -26,13 +24,12 @@
   void Apply(const store_record& record, time_point now);
   duration RemovalDelay(time_point now) const;
   void FinishRead(time_point sent_at);
+  milliseconds ReadWait() const;
 
   entry_context& entry_;
   store_client& store_;
   const std::function<void()> on_change_;
   dependency_health health_;
-  wakeable_pause pause_;
-  duration interval_;
   std::optional<std::uint64_t> offset_;
   std::uint64_t reported_change_ = 0;
 };
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -66,7 +66,7 @@
         election_(entry_, store_, settings.vm.str() + "/" + random_.HexId()),
         configuration_(entry_, store_, [this] { BeliefChanged(); }),
         directory_(entry_, store_, [this] { BeliefChanged(); }),
-        formation_(entry_, election_, directory_, orders_),
+        formation_(entry_, election_, orders_),
         notices_(
             entry_, store_, [this] { return election_.IsController(); },
             [this](const server_group_id& group) { formation_.OnStall(group); }),
--- a/src/entry/formation_controller.cc
+++ b/src/entry/formation_controller.cc
@@ -10,8 +10,6 @@
 constexpr milliseconds kUsualInterval{300};
 /// While groups form or are released.
 constexpr milliseconds kBusyInterval{60};
-/// How often registrations are read meanwhile; servers register changes of their group at once.
-constexpr milliseconds kBusyDirectoryInterval{100};
 constexpr milliseconds kOrderLimit{400};
 constexpr milliseconds kProbeLimit{220};
 /// Traffic begins 10 s after a first start; loads before it do not count.
@@ -22,10 +20,9 @@
 }  // namespace
 
 formation_controller::formation_controller(entry_context& entry, controller_election& election,
-                                           directory_controller& directory, order_client& orders)
+                                           order_client& orders)
     : entry_(entry),
       election_(election),
-      directory_(directory),
       orders_(orders),
       pause_(entry.context),
       started_at_(entry.clock.Now()) {}
@@ -53,7 +50,6 @@
   busy_ = false;
   if (!controls || !entry_.state.configuration || !entry_.state.directory_confirmed_at) {
     acting_ = false;
-    directory_.SetInterval(std::chrono::seconds(1));
     return;
   }
   if (!acting_) {
@@ -73,8 +69,6 @@
     }
     busy_ = busy_ || planner.IsBusy();
   }
-  directory_.SetInterval(busy_ ? duration(kBusyDirectoryInterval)
-                               : duration(std::chrono::seconds(1)));
 }
 
 awaitable<void> formation_controller::Carry(service_id service, formation_order order) {
--- a/src/entry/formation_controller.h
+++ b/src/entry/formation_controller.h
@@ -5,7 +5,6 @@
 #include <string>
 
 #include "entry/controller_election.h"
-#include "entry/directory_controller.h"
 #include "entry/entry_state.h"
 #include "entry/pause.h"
 #include "platform/order_client.h"
@@ -18,7 +17,7 @@
 class formation_controller {
  public:
   formation_controller(entry_context& entry, controller_election& election,
-                       directory_controller& directory, order_client& orders);
+                       order_client& orders);
 
   awaitable<void> Run();
   /// A group's streams stand still, here or at another VM.
@@ -33,7 +32,6 @@
 
   entry_context& entry_;
   controller_election& election_;
-  directory_controller& directory_;
   order_client& orders_;
   wakeable_pause pause_;
   const time_point started_at_;
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -53,13 +53,21 @@
 void group_planner::RecordOutcome(const formation_order& order, order_outcome outcome,
                                   time_point now) {
   server_record& server = servers_[order.target];
-  server.order_pending = false;
+  if (outcome != order_outcome::kAccepted && outcome != order_outcome::kNoAnswer) {
+    server.order_after = now + options_.rejected_retry;
+  }
+  // The next step of a server that did what it was told need not wait.
+  if (outcome == order_outcome::kAccepted && order.action != formation_action::kOpen &&
+      order.action != formation_action::kClose) {
+    server.order_after.reset();
+  }
   if (outcome == order_outcome::kNoAnswer && order.action == formation_action::kJoin) {
     server.silent_since = server.silent_since.value_or(now);
     ++server.silent_probes;
   } else if (outcome != order_outcome::kNoAnswer && outcome != order_outcome::kUnreachable) {
     server.silent_since.reset();
     server.silent_probes = 0;
+    server.refused_at.reset();
   }
   if (outcome == order_outcome::kOutdated) highest_epoch_ += 1000;
   const auto found = groups_.find(order.group);
@@ -71,7 +79,7 @@
     group.head_released = true;
   }
   if (outcome == order_outcome::kUnreachable || outcome == order_outcome::kWrongServer) {
-    if (order.action == formation_action::kLeave) group.head_released = true;
+    server.refused_at = now;
     server.silent_since = server.silent_since.value_or(now);
     server.silent_probes += 2;
   }
@@ -84,17 +92,20 @@
                                 const std::optional<group_membership>& membership,
                                 time_point now) {
   server_record& server = servers_[id];
-  server.probe_pending = false;
   if (outcome == order_outcome::kAccepted) {
     server.silent_probes = 0;
     server.silent_since.reset();
+    server.refused_at.reset();
     server.answered_at = now;
     server.probed_membership = membership;
     return;
   }
   server.silent_since = server.silent_since.value_or(now);
+  const bool refused =
+      outcome == order_outcome::kUnreachable || outcome == order_outcome::kWrongServer;
+  if (refused) server.refused_at = now;
   // A closed port is certain; silence counts once.
-  server.silent_probes += outcome == order_outcome::kNoAnswer ? 1 : 2;
+  server.silent_probes += refused ? 2 : 1;
 }
 
 void group_planner::RecordStall(const server_group_id& id, time_point now) {
@@ -118,21 +129,36 @@
     if (known.server.service != service_->id) continue;
     server_record& server = servers_[id];
     if (!server.first_seen) server.first_seen = now_;
+    if (!server.listed_since) server.listed_since = now_;
+    server.unlisted_since.reset();
+    server.outlived_since.reset();
     server.address = known.server.address;
-    if (server.silent_since && known.updated_at > *server.silent_since + options_.dead_head_time) {
-      server.silent_since.reset();
-      server.silent_probes = 0;
-    }
     if (known.server.membership) {
       highest_epoch_ = std::max(highest_epoch_, known.server.membership->epoch);
     }
   }
+  for (auto& [id, server] : servers_) {
+    if (directory_->Find(id) != nullptr) continue;
+    server.listed_since.reset();
+    if (!server.unlisted_since) server.unlisted_since = now_;
+  }
+  ProbeSilentServers();
+}
+
+void group_planner::ProbeSilentServers() {
+  for (auto& [id, server] : servers_) {
+    if (server.silent_probes == 0 || !server.listed_since) continue;
+    if (server.probed_at && now_ - *server.probed_at < options_.silent_probe_interval) continue;
+    Probe(id);
+  }
 }
 
 void group_planner::AdoptGroups() {
   for (const auto& [id, view] : directory_->Groups()) {
     if (finished_.contains(id)) RetireFinishedGroup(view);
-    if (groups_.contains(id) || finished_.contains(id)) continue;
+    const auto known = groups_.find(id);
+    if (known != groups_.end()) FillMembers(known->second, view);
+    if (known != groups_.end() || finished_.contains(id)) continue;
     const auto name = ParseGroupName(id);
     if (name && name->spare) continue;
     const model_settings* model =
@@ -147,17 +173,29 @@
     }
     group.phase_since = now_;
     group.may_be_open = true;
-    const bool forming = view.head_state == membership_state::kJoining ||
-                         view.head_state == membership_state::kReady;
+    const bool forming = !view.members.front().empty() &&
+                         (view.head_state == membership_state::kJoining ||
+                          view.head_state == membership_state::kReady);
     group.current = forming ? phase::kForming : phase::kServing;
     groups_.emplace(id, std::move(group));
   }
 }
 
+void group_planner::FillMembers(group_record& group, const group_view& view) {
+  // Members of an adopted group may register one after the other.
+  if (view.epoch != group.epoch) return;
+  if (group.members.size() < view.members.size()) group.members.resize(view.members.size());
+  for (std::size_t rank = 0; rank < view.members.size(); ++rank) {
+    if (group.members[rank].empty()) group.members[rank] = view.members[rank];
+  }
+}
+
 void group_planner::RetireFinishedGroup(const group_view& view) {
   // A head that was taken for dead returned with its requests open; its members are elsewhere.
   const backend_server_id& head = view.members.front();
   if (view.head_state != membership_state::kOpen || !MaySend(head)) return;
+  const auto& unlisted = servers_[head].listed_since;
+  if (!unlisted || now_ - *unlisted < options_.order_retry) return;
   group_record group;
   group.id = view.id;
   group.epoch = view.epoch;
@@ -246,14 +284,19 @@
 }
 
 void group_planner::AdvanceServing(group_record& group) {
-  const auto* head = directory_->Find(group.members.front());
-  if (head != nullptr && HoldsMembership(group, group.members.front()) &&
-      head->server.membership->state == membership_state::kBroken) {
+  const head_condition condition = ConditionOfHead(group);
+  if (condition == head_condition::kOut) {
     group.head_released = true;
     return StartReleasing(group);
   }
-  if (head != nullptr && HoldsMembership(group, group.members.front()) &&
-      head->server.membership->state == membership_state::kReady) {
+  // A head that is not registered may get nothing new, so its group is of no use.
+  if (condition == head_condition::kCutOff) return StartReleasing(group);
+  if (condition == head_condition::kUnknown) {
+    busy_ = true;
+    return ProbeMembers(group);
+  }
+  const auto* head = directory_->Find(group.members.front());
+  if (head->server.membership->state == membership_state::kReady) {
     group.current = phase::kForming;
     group.phase_since = now_;
     busy_ = true;
@@ -261,18 +304,14 @@
   }
   if (IsDoubted(group)) {
     busy_ = true;
-    for (const backend_server_id& member : group.members) Probe(member);
+    ProbeMembers(group);
   }
   bool draining = false;
   for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
-    const member_condition condition = ConditionOf(group, rank);
-    // A head that is not registered may get nothing new, so its group is of no use.
-    if (condition == member_condition::kLost ||
-        (condition == member_condition::kUnlisted && rank == 0)) {
-      return StartReleasing(group);
-    }
-    if (condition == member_condition::kDraining) draining = true;
-    if (condition == member_condition::kUnlisted) Probe(group.members[rank]);
+    const member_condition member = ConditionOf(group, rank);
+    if (member == member_condition::kLost) return StartReleasing(group);
+    if (member == member_condition::kDraining) draining = true;
+    if (member == member_condition::kUnlisted) Probe(group.members[rank]);
   }
   if (!draining) return;
   group.current = phase::kClosing;
@@ -303,53 +342,76 @@
   if (directory_ != nullptr) AdvanceReleasing(group);
 }
 
-bool group_planner::IsHeadOut(const group_record& group) {
+group_planner::head_condition group_planner::ConditionOfHead(const group_record& group) {
   const backend_server_id& head = group.members.front();
-  if (head.empty()) return false;
+  if (head.empty()) {
+    // The head was never seen by this controller. One that lives would have registered with the
+    // other members.
+    const bool members_stay = std::any_of(
+        group.members.begin(), group.members.end(), [&](const backend_server_id& member) {
+          const auto& listed_since = servers_[member].listed_since;
+          return !member.empty() && listed_since && now_ - *listed_since > options_.return_time;
+        });
+    return members_stay ? head_condition::kOut : head_condition::kUnknown;
+  }
+  // A registration from before the join shows no membership, too; it matters only if the head may
+  // have been opened.
+  if (!group.may_be_open) return head_condition::kOut;
   const auto* known = directory_->Find(head);
-  if (known != nullptr) {
-    const auto& membership = known->server.membership;
-    // A registration from before the join shows no membership, too; it matters only if the head
-    // may have been opened.
-    if (!group.may_be_open) return true;
-    if (!membership || membership->group != group.id || membership->epoch != group.epoch) {
-      return true;
-    }
-    return membership->state == membership_state::kBroken;
+  if (known == nullptr) return ConditionOfUnlistedHead(group);
+  if (servers_[head].refused_at && !known->server.draining) return head_condition::kOut;
+  if (!HoldsMembership(group, head)) return head_condition::kOut;
+  return known->server.membership->state == membership_state::kBroken ? head_condition::kOut
+                                                                      : head_condition::kListed;
+}
+
+group_planner::head_condition group_planner::ConditionOfUnlistedHead(const group_record& group) {
+  server_record& head = servers_[group.members.front()];
+  if (head.answered_at && now_ - *head.answered_at < options_.doubt_time) {
+    return head_condition::kCutOff;
   }
-  const server_record& server = servers_[head];
-  return server.silent_probes >= 2 && server.silent_since &&
-         now_ - *server.silent_since > options_.dead_head_time;
+  if (!head.unlisted_since) return head_condition::kUnknown;
+  if (!head.outlived_since) {
+    const bool outlived = std::any_of(
+        group.members.begin() + 1, group.members.end(), [&](const backend_server_id& member) {
+          const auto& answered_at = servers_[member].answered_at;
+          return !member.empty() && answered_at && *answered_at > *head.unlisted_since;
+        });
+    if (!outlived) return head_condition::kUnknown;
+    // Silence from before may have had a cause that all members shared; it is counted anew.
+    head.outlived_since = now_;
+    head.silent_probes = 0;
+    head.silent_since.reset();
+  }
+  const bool silent = head.silent_probes >= options_.dead_head_probes && head.silent_since &&
+                      now_ - *head.silent_since >= options_.dead_head_time;
+  return silent ? head_condition::kOut : head_condition::kUnknown;
+}
+
+void group_planner::ProbeMembers(const group_record& group) {
+  for (const backend_server_id& member : group.members) Probe(member);
 }
 
 void group_planner::AdvanceReleasing(group_record& group) {
   busy_ = true;
   if (group.head_released) return;
   const backend_server_id& head = group.members.front();
-  if (head.empty()) {
-    // The head was never seen by this controller. Members stay until a group that stands still has
-    // certainly broken.
-    constexpr milliseconds kUnknownHeadTime{7000};
-    group.head_released = now_ - group.phase_since > kUnknownHeadTime;
-    return;
-  }
-  if (IsHeadOut(group)) {
+  const head_condition condition = ConditionOfHead(group);
+  if (condition == head_condition::kOut) {
     group.head_released = true;
     return;
   }
-  if (directory_->Find(head) == nullptr) Probe(head);
-  if (MaySend(head)) Order(head, formation_action::kLeave, group);
+  if (condition != head_condition::kListed) ProbeMembers(group);
+  if (condition != head_condition::kUnknown && MaySend(head)) {
+    Order(head, formation_action::kLeave, group);
+  }
 }
 
 void group_planner::Probe(const backend_server_id& id) {
   if (id.empty()) return;
   server_record& server = servers_[id];
-  if (server.probe_pending && server.probed_at && now_ - *server.probed_at < options_.order_retry) {
-    return;
-  }
   if (server.probed_at && now_ - *server.probed_at < options_.probe_interval) return;
   server.probed_at = now_;
-  server.probe_pending = true;
   formation_order order;
   order.action = formation_action::kProbe;
   order.target = id;
@@ -359,16 +421,15 @@
 
 bool group_planner::MaySend(const backend_server_id& target) {
   if (target.empty()) return false;
-  const server_record& server = servers_[target];
-  return !server.order_sent_at || now_ - *server.order_sent_at >= options_.order_retry ||
-         (!server.order_pending && now_ - *server.order_sent_at >= options_.order_retry / 4);
+  const auto& after = servers_[target].order_after;
+  return !after || now_ >= *after;
 }
 
 void group_planner::Order(const backend_server_id& target, formation_action action,
                           const group_record& group) {
   server_record& server = servers_[target];
   server.order_sent_at = now_;
-  server.order_pending = true;
+  server.order_after = now_ + options_.order_retry;
   formation_order order;
   order.action = action;
   order.target = target;
@@ -386,10 +447,8 @@
   if (known->server.draining || known->removal_at) return false;
   const auto record = servers_.find(id);
   if (record == servers_.end()) return true;
-  // A server that did not answer is not used until it registers again or answers.
-  const auto& silent_since = record->second.silent_since;
-  return record->second.silent_probes < 1 || !silent_since ||
-         known->updated_at > *silent_since + options_.dead_head_time;
+  // A server that did not answer is not used until it does.
+  return record->second.silent_probes == 0;
 }
 
 void group_planner::FormMissing() {
@@ -406,7 +465,7 @@
     if (!taken_.contains(id)) free_[fabric].push_back(id);
   }
   for (const auto& [id, group] : groups_) {
-    if (group.current == phase::kReleasing || group.current == phase::kClosing) continue;
+    // A group that is released soon gives its members to its successor.
     const auto* head = directory_->Find(group.members.front());
     if (head != nullptr) ++present[head->server.fabric][group.model];
   }
