dispatch: count the time between a group's passes as load

Cause: passes that read several prompts are long, and the pause between events then exceeds its bound; a VM's own requests show a tenth of a group's load. Change: the smoothed time between passes adds to a server's load; registrations are read at most every 150 ms; an order is not repeated while its effect is awaited.

--- a/include/waxwingwing/dispatch/server_load.h
+++ b/include/waxwingwing/dispatch/server_load.h
@@ -33,6 +33,8 @@
   double failure_rate() const { return failure_rate_; }
   /// Smoothed time to the first byte or event.
   duration typical_wait() const { return typical_wait_; }
+  /// Smoothed time between two passes of a group; zero for servers without streams.
+  duration typical_pause() const { return last_event_ ? typical_pause_ : duration::zero(); }
   /// How long the server has been silent although a stream was running; zero when none is.
   duration SilenceOfStreams(time_point now) const;
   /// Longest silence that is usual while streams run.
--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -103,8 +103,11 @@
     /// Last registered address.
     std::string address;
     std::optional<time_point> order_sent_at;
-    /// Earliest time of the next order.
-    std::optional<time_point> order_after;
+    /// The last order, whether its answer is awaited, and the earliest time to repeat it.
+    formation_action last_action = formation_action::kProbe;
+    server_group_id last_group;
+    bool order_pending = false;
+    std::optional<time_point> repeat_after;
     std::optional<time_point> probed_at;
     /// Since when the server is registered without a break, or is not.
     std::optional<time_point> listed_since;
@@ -157,7 +160,8 @@
   bool FormGroup(const fabric_domain_id& fabric, const model_settings& model);
   void KeepSpares(const fabric_domain_id& fabric);
   void Order(const backend_server_id& target, formation_action action, const group_record& group);
-  bool MaySend(const backend_server_id& target);
+  bool MaySend(const backend_server_id& target, formation_action action,
+               const server_group_id& group);
   bool IsUsable(const backend_server_id& id) const;
   bool HoldsMembership(const group_record& group, const backend_server_id& id) const;
   bool TakeLoad(std::size_t loads);
@@ -168,7 +172,8 @@
   const group_planner_options options_;
   std::map<server_group_id, group_record> groups_;
   std::map<backend_server_id, server_record> servers_;
-  std::set<server_group_id> finished_;
+  /// Groups whose members were set free, and when.
+  std::map<server_group_id, time_point> finished_;
   std::deque<time_point> loads_;
   std::uint64_t highest_epoch_ = 0;
   bool busy_ = false;
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -9,6 +9,9 @@
 
 /// Load added for a server all of whose recent requests failed, in requests per slot.
 constexpr double kFailureLoad = 4;
+/// Load added for each second between the passes of a group, in requests per slot. A pass lasts the
+/// longer the more prompts of all VMs it reads, which this VM's own requests do not show.
+constexpr double kPauseLoad = 2;
 /// Spreads requests of VMs that see equal loads.
 constexpr double kRandomLoad = 0.01;
 
@@ -80,6 +83,7 @@
   const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
   double score = (load.running() + load.waiting()) / slots;
   score += load.failure_rate() * kFailureLoad;
+  score += std::chrono::duration<double>(load.typical_pause()).count() * kPauseLoad;
   if (candidate.failure_domain != own_domain_) score += options_.other_domain_load;
   return score + random_.Fraction() * kRandomLoad;
 }
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -11,7 +11,7 @@
 /// Longest wait of one read; the store answers as soon as a registration changes.
 constexpr milliseconds kReadWait{4000};
 /// Least time between reads: many servers register at once, and groups change together.
-constexpr milliseconds kReadInterval{60};
+constexpr milliseconds kReadInterval{150};
 constexpr milliseconds kRetryPause{200};
 /// After the store was away, servers that live are registered again within this time.
 constexpr milliseconds kReturnTime{2500};
@@ -82,6 +82,7 @@
   }
   const duration delay = RemovalDelay(now);
   health_.Succeeded();
+  entry_.metrics.Counter("waxwingwing_registrations_read_total").Increment(page->records.size());
   for (const store_record& record : page->records) {
     if (!record.value) entry_.state.directory.Remove(backend_server_id(record.key), now, delay);
     Apply(record, now);
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -33,6 +33,8 @@
 constexpr int kStartError = 1;
 constexpr int kUsageError = 2;
 constexpr milliseconds kLogFlushInterval{100};
+/// How often the calls to the store are told.
+constexpr std::chrono::seconds kUsageInterval{10};
 /// The balancer takes a VM out after two checks a second apart; new callers come until then.
 constexpr milliseconds kBalancerDelay{2300};
 /// Part of the time before the forced end that running requests may use.
@@ -89,6 +91,7 @@
     asio::co_spawn(context_, formation_.Run(), asio::detached);
     asio::co_spawn(context_, notices_.Run(), asio::detached);
     asio::co_spawn(context_, FlushLog(), asio::detached);
+    asio::co_spawn(context_, ReportUsage(), asio::detached);
     asio::co_spawn(context_, FollowSignals(), asio::detached);
     context_.run();
     log_.Flush();
@@ -127,6 +130,15 @@
     forwarder_.SetMap(std::make_shared<dispatch_map>(state_.directory, *state_.configuration));
   }
 
+  awaitable<void> ReportUsage() {
+    for (;;) {
+      co_await Pause(context_, kUsageInterval);
+      for (const auto& [purpose, calls] : store_.calls()) {
+        log_.Write("store_usage", {{"purpose", purpose}, {"calls", calls}});
+      }
+    }
+  }
+
   awaitable<void> FlushLog() {
     for (;;) {
       co_await Pause(context_, kLogFlushInterval);
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -53,13 +53,9 @@
 void group_planner::RecordOutcome(const formation_order& order, order_outcome outcome,
                                   time_point now) {
   server_record& server = servers_[order.target];
+  server.order_pending = false;
   if (outcome != order_outcome::kAccepted && outcome != order_outcome::kNoAnswer) {
-    server.order_after = now + options_.rejected_retry;
-  }
-  // The next step of a server that did what it was told need not wait.
-  if (outcome == order_outcome::kAccepted && order.action != formation_action::kOpen &&
-      order.action != formation_action::kClose) {
-    server.order_after.reset();
+    server.repeat_after = now + options_.rejected_retry;
   }
   if (outcome == order_outcome::kNoAnswer && order.action == formation_action::kJoin) {
     server.silent_since = server.silent_since.value_or(now);
@@ -193,9 +189,10 @@
 void group_planner::RetireFinishedGroup(const group_view& view) {
   // A head that was taken for dead returned with its requests open; its members are elsewhere.
   const backend_server_id& head = view.members.front();
-  if (view.head_state != membership_state::kOpen || !MaySend(head)) return;
-  const auto& unlisted = servers_[head].listed_since;
-  if (!unlisted || now_ - *unlisted < options_.order_retry) return;
+  if (view.head_state != membership_state::kOpen || !MaySend(head, formation_action::kLeave, view.id)) return;
+  // A registration from before the head left shows nothing.
+  const auto* known = directory_->Find(head);
+  if (known->updated_at < finished_.at(view.id) + options_.order_retry) return;
   group_record group;
   group.id = view.id;
   group.epoch = view.epoch;
@@ -211,7 +208,7 @@
   }
   for (auto group = groups_.begin(); group != groups_.end();) {
     if (group->second.current == phase::kReleasing && group->second.head_released) {
-      finished_.insert(group->first);
+      finished_[group->first] = now_;
       group = groups_.erase(group);
     } else {
       for (const backend_server_id& member : group->second.members) taken_.insert(member);
@@ -239,7 +236,9 @@
     if (!HoldsMembership(group, member)) {
       if (joining_late) return StartReleasing(group);
       all_ready = false;
-      if (MaySend(member)) Order(member, formation_action::kJoin, group);
+      if (MaySend(member, formation_action::kJoin, group.id)) {
+        Order(member, formation_action::kJoin, group);
+      }
       continue;
     }
     if (known->server.membership->state == membership_state::kBroken) return StartReleasing(group);
@@ -251,7 +250,7 @@
     group.phase_since = now_;
     return;
   }
-  if (all_ready && MaySend(group.members.front())) {
+  if (all_ready && MaySend(group.members.front(), formation_action::kOpen, group.id)) {
     group.may_be_open = true;
     Order(group.members.front(), formation_action::kOpen, group);
   }
@@ -331,7 +330,8 @@
   for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
     if (ConditionOf(group, rank) == member_condition::kLost) return StartReleasing(group);
   }
-  if (state == membership_state::kOpen && MaySend(head)) {
+  if (state == membership_state::kOpen &&
+      MaySend(head, formation_action::kClose, group.id)) {
     Order(head, formation_action::kClose, group);
   }
 }
@@ -402,7 +402,8 @@
     return;
   }
   if (condition != head_condition::kListed) ProbeMembers(group);
-  if (condition != head_condition::kUnknown && MaySend(head)) {
+  if (condition != head_condition::kUnknown &&
+      MaySend(head, formation_action::kLeave, group.id)) {
     Order(head, formation_action::kLeave, group);
   }
 }
@@ -419,17 +420,23 @@
   orders_.push_back(std::move(order));
 }
 
-bool group_planner::MaySend(const backend_server_id& target) {
+bool group_planner::MaySend(const backend_server_id& target, formation_action action,
+                            const server_group_id& group) {
   if (target.empty()) return false;
-  const auto& after = servers_[target].order_after;
-  return !after || now_ >= *after;
+  const server_record& server = servers_[target];
+  if (!server.repeat_after || now_ >= *server.repeat_after) return true;
+  // The next step of a server that answered need not wait.
+  return !server.order_pending && (server.last_action != action || server.last_group != group);
 }
 
 void group_planner::Order(const backend_server_id& target, formation_action action,
                           const group_record& group) {
   server_record& server = servers_[target];
   server.order_sent_at = now_;
-  server.order_after = now_ + options_.order_retry;
+  server.repeat_after = now_ + options_.order_retry;
+  server.order_pending = true;
+  server.last_action = action;
+  server.last_group = group.id;
   formation_order order;
   order.action = action;
   order.target = target;
@@ -540,7 +547,8 @@
   for (const backend_server_id& id : free_[fabric]) {
     const backend_server& server = directory_->Find(id)->server;
     if (server.membership && server.membership->state == membership_state::kJoining) continue;
-    if (!MaySend(id)) continue;
+    const auto& repeat_after = servers_[id].repeat_after;
+    if (repeat_after && now_ < *repeat_after) continue;
     if (server.model.empty()) {
       const model_settings* least = *std::min_element(
           models.begin(), models.end(), [&](const auto* left, const auto* right) {
