--- a/include/waxwingwing/forward/forwarder.h
+++ b/include/waxwingwing/forward/forwarder.h
@@ -7,9 +7,9 @@
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/result.h"
+#include "waxwingwing/directory/traffic_configuration.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_selection.h"
-#include "waxwingwing/directory/traffic_configuration.h"
 #include "waxwingwing/forward/call_codec.h"
 #include "waxwingwing/forward/forward_options.h"
 #include "waxwingwing/logging/event_log.h"
--- a/include/waxwingwing/logging/event_log.h
+++ b/include/waxwingwing/logging/event_log.h
@@ -15,9 +15,9 @@
 class log_field {
  public:
   log_field(std::string_view key, std::string_view text);
-  log_field(std::string_view key, const char* text) : log_field(key, std::string_view(text)) {}
+  log_field(std::string_view key, const char* text) : log_field(key, std::string_view{text}) {}
   log_field(std::string_view key, const std::string& text)
-      : log_field(key, std::string_view(text)) {}
+      : log_field(key, std::string_view{text}) {}
   log_field(std::string_view key, bool flag);
   log_field(std::string_view key, double number);
   template <typename number,
@@ -38,8 +38,8 @@
 /// Writes one JSON object a line for each decision and each change of belief.
 ///
 /// Never blocks: lines wait in a bounded buffer until `Flush` hands them to a sink that takes what
-/// it can. Lines beyond the rate or the buffer are dropped and counted in a later line; lines marked
-/// as needed have a part of both for themselves. Not safe for use by several threads.
+/// it can. Lines beyond the rate or the buffer are dropped and counted in a later line; lines
+/// marked as needed have a part of both for themselves. Not safe for use by several threads.
 class event_log {
  public:
   /// Takes bytes; returns how many were taken, 0 when it would block.
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -53,9 +53,8 @@
 
 void server_directory::Forget(time_point now) {
   std::set<backend_server_id> members;
-  std::erase_if(remembered_, [&](const auto& item) {
-    return now - item.second.seen_at > kRememberTime;
-  });
+  std::erase_if(remembered_,
+                [&](const auto& item) { return now - item.second.seen_at > kRememberTime; });
   for (const auto& [id, group] : remembered_) {
     for (const auto& [rank, member] : group.members) members.insert(member);
   }
--- a/src/dispatch/server_load.cc
+++ b/src/dispatch/server_load.cc
@@ -7,7 +7,8 @@
 
 /// Weight of the newest value in the smoothed ones: a change shows after about ten values.
 constexpr double kSmoothing = 0.1;
-/// Shortest silence that raises a doubt: three passes of a full group, or one that reads five prompts.
+/// Shortest silence that raises a doubt: three passes of a full group, or one that reads five
+/// prompts.
 constexpr milliseconds kMinSilence{200};
 constexpr milliseconds kMaxSilence{600};
 /// Silence of this many usual pauses counts as a stall.
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -24,7 +24,7 @@
 
 server_selection::server_selection(selection_options options, failure_domain_id own_domain,
                                    random_source random)
-    : options_(options), own_domain_(std::move(own_domain)), random_(std::move(random)) {}
+    : options_(options), own_domain_(std::move(own_domain)), random_(random) {}
 
 const dispatch_candidate* server_selection::Select(
     const std::vector<dispatch_candidate>& candidates, const std::set<backend_server_id>& excluded,
@@ -55,12 +55,12 @@
 
 bool server_selection::HasOther(const std::vector<dispatch_candidate>& candidates,
                                 const std::set<backend_server_id>& excluded, time_point now) {
-  return std::any_of(
-      candidates.begin(), candidates.end(), [&](const dispatch_candidate& candidate) {
-        const server_load& load = loads_[candidate.server];
-        return !excluded.contains(candidate.server) && !load.IsSuspended(now) &&
-               !IsFull(candidate, load) && IsWithinColdRate(candidate, now);
-      });
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&](const dispatch_candidate& candidate) {
+                       const server_load& load = loads_[candidate.server];
+                       return !excluded.contains(candidate.server) && !load.IsSuspended(now) &&
+                              !IsFull(candidate, load) && IsWithinColdRate(candidate, now);
+                     });
 }
 
 bool server_selection::IsFull(const dispatch_candidate& candidate, const server_load& load) const {
@@ -72,7 +72,8 @@
   if (candidate.cold_rate <= 0 || now >= candidate.cold_until) return true;
   cold_bucket& bucket = cold_[candidate.server];
   // Each VM takes its part of the rate, so that the sum of all keeps it without a message.
-  const double rate = candidate.cold_rate / static_cast<double>(std::max<std::size_t>(vm_count_, 1));
+  const double rate =
+      candidate.cold_rate / static_cast<double>(std::max<std::size_t>(vm_count_, 1));
   const double elapsed = std::chrono::duration<double>(now - bucket.refilled_at).count();
   bucket.tokens = std::min(1.0, bucket.tokens + std::max(0.0, elapsed) * rate);
   bucket.refilled_at = now;
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -95,10 +95,9 @@
   const auto& current = entry_.state.configuration;
   // A record from before a loss of history must not bring back an older version.
   if (current && (*decoded)->version <= current->version) return;
-  entry_.log.Write("configuration_changed",
-                   {{"version", (*decoded)->version},
-                    {"previous", current ? current->version : 0},
-                    {"routes", (*decoded)->RouteCount()}});
+  entry_.log.Write("configuration_changed", {{"version", (*decoded)->version},
+                                             {"previous", current ? current->version : 0},
+                                             {"routes", (*decoded)->RouteCount()}});
   entry_.metrics.Gauge("waxwingwing_configuration_version")
       .Set(static_cast<std::int64_t>((*decoded)->version));
   entry_.state.configuration = *decoded;
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -53,8 +53,8 @@
   const bool lapsed = !trusted_until_ || sent_at > *trusted_until_;
   if (!held_since_ || lapsed) {
     held_since_ = entry_.clock.Now();
-    entry_.log.Write("controller_gained", {{"generation", generation_},
-                                           {"acts_after_ms", duration(kTakeoverWait)}});
+    entry_.log.Write("controller_gained",
+                     {{"generation", generation_}, {"acts_after_ms", duration(kTakeoverWait)}});
   }
   trusted_until_ = sent_at + kTrustTime;
 }
--- a/src/entry/dependency_health.cc
+++ b/src/entry/dependency_health.cc
@@ -5,8 +5,7 @@
 void dependency_health::Succeeded() {
   if (!lost_since_) return;
   const time_point now = entry_.clock.Now();
-  entry_.log.Write("dependency_regained",
-                   {{"dependency", name_}, {"away_ms", now - *lost_since_}});
+  entry_.log.Write("dependency_regained", {{"dependency", name_}, {"away_ms", now - *lost_since_}});
   lost_since_.reset();
   regained_at_ = now;
 }
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -125,8 +125,7 @@
 
 void directory_controller::FinishRead(time_point sent_at) {
   entry_.state.directory_confirmed_at = sent_at;
-  for (const backend_server_id& id :
-       entry_.state.directory.ApplyDueRemovals(entry_.clock.Now())) {
+  for (const backend_server_id& id : entry_.state.directory.ApplyDueRemovals(entry_.clock.Now())) {
     entry_.log.Write("server_removed", {{"server", id.str()}});
   }
   if (entry_.state.directory.change_count() == reported_change_) return;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -30,6 +30,7 @@
 namespace waxwingwing {
 namespace {
 
+constexpr std::string_view kSettingsFlag = "--settings=";
 constexpr int kStartError = 1;
 constexpr int kUsageError = 2;
 constexpr milliseconds kLogFlushInterval{100};
@@ -39,7 +40,8 @@
 constexpr milliseconds kBalancerDelay{2300};
 /// Part of the time before the forced end that running requests may use.
 constexpr double kStopShare = 0.9;
-/// Part of the retry budget of all VMs together that is used: VMs see unequal shares of the traffic.
+/// Part of the retry budget of all VMs together that is used: VMs see unequal shares of the
+/// traffic.
 constexpr double kRetryShare = 0.7;
 /// Time before the limit at which keys stop being accepted: a read may be answered late.
 constexpr milliseconds kRevokeMargin{900};
@@ -172,15 +174,14 @@
   void CheckSettings() {
     finding_list findings;
     ReadSettingsFile(SettingsPathFromEnvironment(), findings);
-    log_.Write("settings_reloaded",
-               {{"valid", findings.empty()}, {"faults", findings.ToText()}});
+    log_.Write("settings_reloaded", {{"valid", findings.empty()}, {"faults", findings.ToText()}});
   }
 
   awaitable<void> Stop() {
     const time_point began_at = clock_.Now();
     state_.stopping = true;
-    log_.Write("stopping", {{"connections", forwarder_.Connections()},
-                            {"running", forwarder_.RunningCalls()}});
+    log_.Write("stopping",
+               {{"connections", forwarder_.Connections()}, {"running", forwarder_.RunningCalls()}});
     forwarder_.BeginShutdown();
     co_await election_.Leave();
     const auto limit = std::chrono::duration_cast<duration>(settings_.stop_limit * kStopShare);
@@ -193,8 +194,8 @@
       co_await Pause(context_, milliseconds(20));
       forwarder_.StopAccepting();
     }
-    log_.Write("stopped", {{"running", forwarder_.RunningCalls()},
-                           {"took_ms", clock_.Now() - began_at}});
+    log_.Write("stopped",
+               {{"running", forwarder_.RunningCalls()}, {"took_ms", clock_.Now() - began_at}});
     context_.stop();
   }
 
@@ -230,7 +231,6 @@
   finding_list findings;
   std::string path = SettingsPathFromEnvironment();
   for (const std::string& argument : arguments) {
-    constexpr std::string_view kSettingsFlag = "--settings=";
     if (argument.starts_with(kSettingsFlag)) {
       path = argument.substr(kSettingsFlag.size());
     } else {
--- a/src/entry/formation_controller.h
+++ b/src/entry/formation_controller.h
@@ -16,8 +16,7 @@
 /// became of them.
 class formation_controller {
  public:
-  formation_controller(entry_context& entry, controller_election& election,
-                       order_client& orders);
+  formation_controller(entry_context& entry, controller_election& election, order_client& orders);
 
   awaitable<void> Run();
   /// A group's streams stand still, here or at another VM.
--- a/src/entry/stall_notices.cc
+++ b/src/entry/stall_notices.cc
@@ -35,10 +35,9 @@
 
 awaitable<void> stall_notices::Send(server_group_id group) {
   const auto sent = co_await store_.Append(store_stream::kStalls, group.str());
-  entry_.log.Write("stall_notice_sent",
-                   {{"group", group.str()},
-                    {"done", sent.has_value()},
-                    {"reason", sent ? std::string() : sent.reason()}});
+  entry_.log.Write("stall_notice_sent", {{"group", group.str()},
+                                         {"done", sent.has_value()},
+                                         {"reason", sent ? std::string() : sent.reason()}});
 }
 
 awaitable<void> stall_notices::Run() {
--- a/src/formation/formation_targets.cc
+++ b/src/formation/formation_targets.cc
@@ -10,9 +10,8 @@
   for (const model_settings& model : models) {
     if (model.group_size > 0) sorted.push_back(&model);
   }
-  std::stable_sort(sorted.begin(), sorted.end(), [](const auto* left, const auto* right) {
-    return left->share > right->share;
-  });
+  std::stable_sort(sorted.begin(), sorted.end(),
+                   [](const auto* left, const auto* right) { return left->share > right->share; });
   return sorted;
 }
 
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -83,8 +83,7 @@
 }
 
 void group_planner::RecordProbe(const backend_server_id& id, order_outcome outcome,
-                                const std::optional<group_membership>& membership,
-                                time_point now) {
+                                const std::optional<group_membership>& membership, time_point now) {
   server_record& server = servers_[id];
   if (outcome == order_outcome::kAccepted) {
     server.silent_probes = 0;
@@ -150,8 +149,7 @@
     if (known != groups_.end() || finished_.contains(id)) continue;
     const auto name = ParseGroupName(id);
     if (name && name->spare) continue;
-    const model_settings* model =
-        service_->ModelByName(name ? std::string_view(name->model) : view.model);
+    const model_settings* model = service_->ModelByName(name ? name->model : view.model);
     group_record group;
     group.id = id;
     group.model = model == nullptr ? view.model : model->name;
@@ -182,7 +180,9 @@
 void group_planner::RetireFinishedGroup(const group_view& view) {
   // A head that was taken for dead returned with its requests open; its members are elsewhere.
   const backend_server_id& head = view.members.front();
-  if (view.head_state != membership_state::kOpen || !MaySend(head, formation_action::kLeave, view.id)) return;
+  if (view.head_state != membership_state::kOpen ||
+      !MaySend(head, formation_action::kLeave, view.id))
+    return;
   // A registration from before the head left shows nothing.
   const auto* known = directory_->Find(head);
   if (known->updated_at < finished_.at(view.id) + options_.order_retry) return;
@@ -280,9 +280,9 @@
   }
   // Not registered any more: it may be cut off from the list and still work.
   if (server.silent_probes >= 2 && silent) return member_condition::kLost;
-  if (server.answered_at && (!server.probed_membership ||
-                             server.probed_membership->group != group.id ||
-                             server.probed_membership->epoch != group.epoch)) {
+  if (server.answered_at &&
+      (!server.probed_membership || server.probed_membership->group != group.id ||
+       server.probed_membership->epoch != group.epoch)) {
     return member_condition::kLost;
   }
   return member_condition::kUnlisted;
@@ -338,8 +338,7 @@
   for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
     if (ConditionOf(group, rank) == member_condition::kLost) return StartReleasing(group);
   }
-  if (state == membership_state::kOpen &&
-      MaySend(head, formation_action::kClose, group.id)) {
+  if (state == membership_state::kOpen && MaySend(head, formation_action::kClose, group.id)) {
     Order(head, formation_action::kClose, group);
   }
 }
@@ -357,7 +356,8 @@
     const bool members_stay = std::any_of(
         group.members.begin(), group.members.end(), [&](const backend_server_id& member) {
           const auto& listed_since = servers_[member].listed_since;
-          return !member.empty() && listed_since && now_ - *listed_since > options_.unknown_head_time;
+          return !member.empty() && listed_since &&
+                 now_ - *listed_since > options_.unknown_head_time;
         });
     return members_stay ? head_condition::kOut : head_condition::kUnknown;
   }
@@ -408,8 +408,7 @@
     return;
   }
   if (condition != head_condition::kListed) ProbeMembers(group);
-  if (condition != head_condition::kUnknown &&
-      MaySend(head, formation_action::kLeave, group.id)) {
+  if (condition != head_condition::kUnknown && MaySend(head, formation_action::kLeave, group.id)) {
     Order(head, formation_action::kLeave, group);
   }
 }
@@ -556,8 +555,8 @@
     const auto& repeat_after = servers_[id].repeat_after;
     if (repeat_after && now_ < *repeat_after) continue;
     if (server.model.empty()) {
-      const model_settings* least = *std::min_element(
-          models.begin(), models.end(), [&](const auto* left, const auto* right) {
+      const model_settings* least =
+          *std::min_element(models.begin(), models.end(), [&](const auto* left, const auto* right) {
             return loaded[left->name] < loaded[right->name];
           });
       if (!TakeLoad(HasStaged(server, least->name) ? 0 : 1)) return;
@@ -571,9 +570,8 @@
       continue;
     }
     // The last model joins without loading; another one is kept on the host.
-    const auto other = std::find_if(models.begin(), models.end(), [&](const auto* model) {
-      return model->name != server.model;
-    });
+    const auto other = std::find_if(models.begin(), models.end(),
+                                    [&](const auto* model) { return model->name != server.model; });
     if (other == models.end() || HasStaged(server, (*other)->name)) continue;
     auto& staging_until = servers_[id].staging_until;
     if (staging_until && now_ < *staging_until) continue;
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -20,10 +20,13 @@
 constexpr milliseconds kMinTimeLeft{30};
 /// Highest urgency number that backend servers know.
 constexpr std::uint32_t kLeastUrgency = 9;
-/// Return of callers when a group or server is missing: a repair by a loaded spare takes about 0.6 s.
+/// Return of callers when a group or server is missing: a repair by a loaded spare takes about 0.6
+/// s.
 constexpr milliseconds kRepairDelay{500};
 /// Return of callers when all servers are full: a stream runs for one to two seconds.
 constexpr milliseconds kFullDelay{400};
+/// Steps in which the shares of a route's services are told apart.
+constexpr std::uint64_t kShareSteps = 1U << 20U;
 /// Callers come back spread over this time.
 constexpr milliseconds kDelaySpread{500};
 
@@ -41,8 +44,12 @@
 }  // namespace
 
 const std::array<forward_call::filter, 6> forward_call::kFilters = {
-    &forward_call::RequireConfiguration, &forward_call::ReadHeaders, &forward_call::FindRoute,
-    &forward_call::Identify,             &forward_call::ChooseService, &forward_call::CheckTime};
+    &forward_call::RequireConfiguration,
+    &forward_call::ReadHeaders,
+    &forward_call::FindRoute,
+    &forward_call::Identify,
+    &forward_call::ChooseService,
+    &forward_call::CheckTime};
 
 forward_call::forward_call(forward_core& core, caller_channel& channel, caller_request request)
     : core_(core),
@@ -102,9 +109,8 @@
 std::optional<call_refusal> forward_call::ChooseService() {
   double total = 0;
   for (const service_share& share : route_->services) total += share.weight;
-  constexpr std::uint64_t kSteps = 1U << 20U;
-  const auto step = static_cast<double>(StableHash(facts_.id.str(), 1) % kSteps);
-  double point = total * step / static_cast<double>(kSteps);
+  const auto step = static_cast<double>(StableHash(facts_.id.str(), 1) % kShareSteps);
+  double point = total * step / static_cast<double>(kShareSteps);
   for (const service_share& share : route_->services) {
     service_ = share.service;
     point -= share.weight;
@@ -170,9 +176,10 @@
   plan.stream = route_->repeat == repeat_rule::kStream;
   plan.last_event = last_event_;
   plan.deadline = deadline_;
-  plan.first_limit = plan.stream ? duration(core_.options.first_event_limit)
-                                 : std::chrono::duration_cast<duration>(
-                                       route_->timeout * core_.options.repeat_after);
+  plan.first_limit =
+      plan.stream
+          ? duration(core_.options.first_event_limit)
+          : std::chrono::duration_cast<duration>(route_->timeout * core_.options.repeat_after);
   call_target target;
   target.server = server.server;
   target.time_left = std::max(TimeLeft(now) - kAnswerTravelTime, milliseconds(1));
@@ -289,13 +296,12 @@
   const char* reason = moved ? NameOf(cut) : "broken";
   if (MayTryAgain(true) && (moved || CanMoveNow())) {
     core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
-    core_.log.Write("request_moved",
-                    {{"request", facts_.id.str()},
-                     {"from", server_.server.str()},
-                     {"reason", reason},
-                     {"failure", last_failure_},
-                     {"last_event", last_event_.value_or(0)},
-                     {"age_ms", core_.Now() - arrived_at_}});
+    core_.log.Write("request_moved", {{"request", facts_.id.str()},
+                                      {"from", server_.server.str()},
+                                      {"reason", reason},
+                                      {"failure", last_failure_},
+                                      {"last_event", last_event_.value_or(0)},
+                                      {"age_ms", core_.Now() - arrived_at_}});
     return false;
   }
   GiveUp(502, reason);
@@ -341,8 +347,8 @@
 milliseconds forward_call::RetryDelay() const {
   const milliseconds base =
       selection_failure_ == selection_failure::kAllFull ? kFullDelay : kRepairDelay;
-  const auto spread = StableHash(facts_.id.str(), 2) % static_cast<std::uint64_t>(
-                                                           kDelaySpread.count());
+  const auto spread =
+      StableHash(facts_.id.str(), 2) % static_cast<std::uint64_t>(kDelaySpread.count());
   return base + milliseconds(static_cast<milliseconds::rep>(spread));
 }
 
@@ -381,26 +387,25 @@
   core_.metrics.Summary("waxwingwing_request_seconds", {{"outcome", std::string(outcome)}})
       .Observe(std::chrono::duration<double>(took).count());
   const bool routine = outcome == "answered" && sends_ <= 1;
-  core_.log.Write(
-      "request_ended",
-      {{"request", facts_.id.str()},
-       {"outcome", outcome},
-       {"status", status},
-       {"reason", reason},
-       {"failure", last_failure_},
-       {"route", route_ == nullptr ? std::string_view() : std::string_view(route_->name)},
-       {"model", facts_.model},
-       {"server", server_.server.str()},
-       {"group", server_.group.str()},
-       {"sends", sends_},
-       {"runs", runs_},
-       {"last_event", last_event_.value_or(0)},
-       {"first_event_ms", first_event_after_.value_or(duration::zero())},
-       {"took_ms", took},
-       {"configuration", configuration_ ? configuration_->version : 0},
-       {"configuration_age_ms", core_.hooks.ConfigurationAge()},
-       {"directory_age_ms", core_.hooks.DirectoryAge()}},
-      routine ? event_log::importance::kRoutine : event_log::importance::kNeeded);
+  core_.log.Write("request_ended",
+                  {{"request", facts_.id.str()},
+                   {"outcome", outcome},
+                   {"status", status},
+                   {"reason", reason},
+                   {"failure", last_failure_},
+                   {"route", route_ == nullptr ? std::string() : route_->name},
+                   {"model", facts_.model},
+                   {"server", server_.server.str()},
+                   {"group", server_.group.str()},
+                   {"sends", sends_},
+                   {"runs", runs_},
+                   {"last_event", last_event_.value_or(0)},
+                   {"first_event_ms", first_event_after_.value_or(duration::zero())},
+                   {"took_ms", took},
+                   {"configuration", configuration_ ? configuration_->version : 0},
+                   {"configuration_age_ms", core_.hooks.ConfigurationAge()},
+                   {"directory_age_ms", core_.hooks.DirectoryAge()}},
+                  routine ? event_log::importance::kRoutine : event_log::importance::kNeeded);
 }
 
 }  // namespace waxwingwing
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -150,8 +150,7 @@
     ticker_.async_wait([this](error_code error) {
       if (error) return;
       const time_point now = core_.Now();
-      const std::vector<server_exchange*> exchanges(core_.exchanges.begin(),
-                                                    core_.exchanges.end());
+      const std::vector<server_exchange*> exchanges(core_.exchanges.begin(), core_.exchanges.end());
       for (server_exchange* exchange : exchanges) {
         if (core_.exchanges.contains(exchange)) exchange->Check(now);
       }
--- a/src/forward/http_text.cc
+++ b/src/forward/http_text.cc
@@ -13,11 +13,17 @@
 
 namespace http = boost::beast::http;
 
-constexpr std::array kConnectionFields = {
-    http::field::connection,       http::field::keep_alive, http::field::proxy_connection,
-    http::field::te,               http::field::trailer,    http::field::transfer_encoding,
-    http::field::upgrade,          http::field::expect,     http::field::proxy_authenticate,
-    http::field::proxy_authorization, http::field::content_length};
+constexpr std::array kConnectionFields = {http::field::connection,
+                                          http::field::keep_alive,
+                                          http::field::proxy_connection,
+                                          http::field::te,
+                                          http::field::trailer,
+                                          http::field::transfer_encoding,
+                                          http::field::upgrade,
+                                          http::field::expect,
+                                          http::field::proxy_authenticate,
+                                          http::field::proxy_authorization,
+                                          http::field::content_length};
 
 void AppendFields(std::string& text, const http_fields& fields) {
   for (const auto& field : fields) {
--- a/src/forward/http_text.h
+++ b/src/forward/http_text.h
@@ -11,7 +11,8 @@
 /// Removes the headers that concern one connection only, including those that `Connection` names.
 void RemoveConnectionFields(http_fields& fields);
 
-/// A request's head and body as bytes; `fields` are written as they are, with a length for the body.
+/// A request's head and body as bytes; `fields` are written as they are, with a length for the
+/// body.
 std::string WriteRequest(std::string_view method, std::string_view target,
                          const http_fields& fields, std::string_view body);
 
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -225,8 +225,7 @@
     return;
   }
   server_load& load = core_.selection.LoadOf(plan_.target.server);
-  if (!begun_ && now - *sent_at_ > plan_.first_limit && IsStuck(now, load) &&
-      receiver_.CanMove()) {
+  if (!begun_ && now - *sent_at_ > plan_.first_limit && IsStuck(now, load) && receiver_.CanMove()) {
     return Cut(exchange_cut::kFirstLimit);
   }
   if (plan_.stream) CheckStall(now, load);
@@ -253,7 +252,8 @@
     core_.ReportStall(plan_.target, streams_silent ? "streams_silent" : "nothing_begins",
                       streams_silent ? silence : now - *sent_at_);
   }
-  const bool moves = streams_silent && silence > std::max<duration>(core_.options.move_limit, limit);
+  const bool moves =
+      streams_silent && silence > std::max<duration>(core_.options.move_limit, limit);
   if (moves && receiver_.CanMove()) Cut(exchange_cut::kStall);
 }
 
--- a/src/forward/server_pool.cc
+++ b/src/forward/server_pool.cc
@@ -7,7 +7,8 @@
 namespace waxwingwing {
 namespace {
 
-/// Whether the server has neither closed the connection nor sent anything that no request asked for.
+/// Whether the server has neither closed the connection nor sent anything that no request asked
+/// for.
 bool IsQuiet(server_connection& connection) {
   std::array<char, 1> byte{};
   error_code error;
--- a/src/gateway/answer_sink.h
+++ b/src/gateway/answer_sink.h
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "waxwingwing/platform/coroutine.h"
 #include "gateway/refusal.h"
+#include "waxwingwing/platform/coroutine.h"
 #include "waxwingwing/streaming/engine_stream.h"
 
 namespace waxwingwing {
--- a/src/gateway/async_event.h
+++ b/src/gateway/async_event.h
@@ -2,8 +2,8 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-#include "waxwingwing/platform/coroutine.h"
 #include "waxwingwing/core/clock.h"
+#include "waxwingwing/platform/coroutine.h"
 
 namespace waxwingwing {
 
--- a/src/gateway/backend_calls.h
+++ b/src/gateway/backend_calls.h
@@ -3,9 +3,9 @@
 #include <optional>
 #include <string>
 
-#include "waxwingwing/platform/coroutine.h"
 #include "gateway/gateway_core.h"
 #include "gateway/http_types.h"
+#include "waxwingwing/platform/coroutine.h"
 
 namespace waxwingwing {
 
--- a/src/gateway/request_filter.h
+++ b/src/gateway/request_filter.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "waxwingwing/platform/coroutine.h"
 #include "gateway/request_context.h"
+#include "waxwingwing/platform/coroutine.h"
 
 namespace waxwingwing {
 
--- a/src/logging/event_log.cc
+++ b/src/logging/event_log.cc
@@ -43,7 +43,8 @@
   text_ += '"';
 }
 
-log_field::log_field(std::string_view key, bool flag) : text_(fmt::format("\"{}\":{}", key, flag)) {}
+log_field::log_field(std::string_view key, bool flag)
+    : text_(fmt::format("\"{}\":{}", key, flag)) {}
 
 log_field::log_field(std::string_view key, double number)
     : text_(fmt::format("\"{}\":{:.3f}", key, number)) {}
--- a/src/streaming/event_splitter.cc
+++ b/src/streaming/event_splitter.cc
@@ -10,10 +10,9 @@
 std::size_t EventLength(std::string_view text) {
   const std::size_t line_feeds = text.find("\n\n");
   const std::size_t with_returns = text.find("\r\n\r\n");
-  const std::size_t first = std::min(line_feeds == std::string_view::npos ? line_feeds
-                                                                          : line_feeds + 2,
-                                     with_returns == std::string_view::npos ? with_returns
-                                                                            : with_returns + 4);
+  const std::size_t first =
+      std::min(line_feeds == std::string_view::npos ? line_feeds : line_feeds + 2,
+               with_returns == std::string_view::npos ? with_returns : with_returns + 4);
   return first;
 }
 
--- a/stand_ins/flags.cc
+++ b/stand_ins/flags.cc
@@ -28,3 +28,12 @@
 DEFINE_uint64(service_ms, 5, "time that one call of the plain service takes");
 
 DEFINE_string(target, "", "ip:port that the proxy forwards to");
+
+DEFINE_uint64(partitions, 4, "parts into which the store divides work among members");
+
+DEFINE_string(store_address, "", "ip:port of the platform's store");
+DEFINE_string(service, "pool", "service of the runner");
+DEFINE_string(failure_domain, "ifo", "failure domain of the runner");
+DEFINE_string(fabric, "ifo-d0", "fabric domain of the runner");
+DEFINE_bool(streams, true, "answer with streams of events, as a member of a group");
+DEFINE_uint64(events, 10, "events of a stream");
--- a/stand_ins/flags.h
+++ b/stand_ins/flags.h
@@ -29,3 +29,12 @@
 DECLARE_uint64(service_ms);
 
 DECLARE_string(target);
+
+DECLARE_uint64(partitions);
+
+DECLARE_string(store_address);
+DECLARE_string(service);
+DECLARE_string(failure_domain);
+DECLARE_string(fabric);
+DECLARE_bool(streams);
+DECLARE_uint64(events);
--- a/stand_ins/http_exchange.cc
+++ b/stand_ins/http_exchange.cc
@@ -44,6 +44,11 @@
   return found == query_.end() ? default_value : std::stoull(found->second);
 }
 
+std::string http_exchange::QueryText(const std::string& name) const {
+  const auto found = query_.find(name);
+  return found == query_.end() ? std::string() : found->second;
+}
+
 awaitable<bool> http_exchange::Answer(unsigned status, const json& body) {
   header_list headers;
   co_return co_await AnswerText(status, body.dump(), std::move(headers));
--- a/stand_ins/http_exchange.h
+++ b/stand_ins/http_exchange.h
@@ -35,6 +35,8 @@
   /// A header's value; empty when there is none.
   std::string Header(std::string_view name) const;
   std::uint64_t QueryNumber(const std::string& name, std::uint64_t default_value) const;
+  /// A text of the query; empty when there is none.
+  std::string QueryText(const std::string& name) const;
   /// The body as JSON; throws nlohmann::json::exception.
   json Body() const { return json::parse(request_.body()); }
 
--- a/stand_ins/main.cc
+++ b/stand_ins/main.cc
@@ -7,8 +7,10 @@
 #include "stand_ins/engine.h"
 #include "stand_ins/flags.h"
 #include "stand_ins/http_server.h"
+#include "stand_ins/model_runner.h"
 #include "stand_ins/plain_service.h"
 #include "stand_ins/platform_log.h"
+#include "stand_ins/platform_store.h"
 #include "stand_ins/proxy.h"
 #include "stand_ins/vm_list.h"
 #include "stand_ins/weight_store.h"
@@ -30,6 +32,8 @@
       {"weight_store", Create<weight_store>},
       {"engine", Create<engine>},
       {"plain_service", Create<plain_service>},
+      {"store", Create<platform_store>},
+      {"model_runner", Create<model_runner>},
       {"proxy", Create<proxy>}};
   return kFactories;
 }
@@ -53,6 +57,8 @@
     line["address"] = forwarding->address();
   }
   std::cout << line.dump() << std::endl;
+  auto* runner = dynamic_cast<model_runner*>(served.get());
+  if (runner != nullptr) runner->Start(server.address());
   context.run();
   return 0;
 }
--- /dev/null
+++ b/stand_ins/model_runner.cc
@@ -0,0 +1,271 @@
+#include "stand_ins/model_runner.h"
+
+#include <algorithm>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <utility>
+
+#include "stand_ins/flags.h"
+
+namespace waxwingwing::stand_ins {
+namespace {
+
+constexpr milliseconds kJoinTime{60};
+constexpr milliseconds kOpenTime{40};
+constexpr milliseconds kBeat{300};
+constexpr milliseconds kEventPause{20};
+
+/// A record with a key, as the store takes it.
+std::string KeyedRecord(const std::string& key, const std::string& value) {
+  const std::string content = static_cast<char>(key.size()) + key + value;
+  std::string record;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    record += static_cast<char>(content.size() >> static_cast<unsigned>(shift) & 0xffU);
+  }
+  return record + content;
+}
+
+awaitable<void> AppendToStore(std::string record) {
+  tcp::socket socket(EventLoop());
+  error_code error;
+  co_await socket.async_connect(ParseEndpoint(FLAGS_store_address),
+                                asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return;
+  http_request request(http::verb::post, "/v1/log-append?topic=keyed.servers&part=0", 11);
+  request.set(http::field::host, FLAGS_store_address);
+  request.body() = std::move(record);
+  request.prepare_payload();
+  co_await http::async_write(socket, request, asio::redirect_error(asio::use_awaitable, error));
+  boost::beast::flat_buffer buffer;
+  http::response<http::string_body> response;
+  if (!error) {
+    co_await http::async_read(socket, buffer, response,
+                              asio::redirect_error(asio::use_awaitable, error));
+  }
+}
+
+}  // namespace
+
+model_runner::model_runner(asio::io_context& context) : stand_in(context) {}
+
+void model_runner::Start(const std::string& address) {
+  address_ = address;
+  asio::co_spawn(context(), Beat(), asio::detached);
+}
+
+json model_runner::Facts() const {
+  json facts = {{"service", FLAGS_service},
+                {"addr", address_},
+                {"zone", FLAGS_failure_domain},
+                {"version", "v1"},
+                {"slots", FLAGS_max_requests},
+                {"state", draining_ ? "draining" : "ready"},
+                {"cold_left_ms", 0},
+                {"domain", FLAGS_fabric},
+                {"staged", json::array()},
+                {"born", 1},
+                {"models", json::array()}};
+  if (!model_.empty()) facts["models"].push_back({{"name", model_}, {"version", 1}});
+  if (membership_) {
+    facts["group"] = {{"name", membership_->group},
+                      {"epoch", membership_->epoch},
+                      {"rank", membership_->rank},
+                      {"state", membership_->state}};
+  }
+  return facts;
+}
+
+awaitable<void> model_runner::Beat() {
+  for (;;) {
+    co_await Register();
+    co_await Sleep(kBeat);
+  }
+}
+
+awaitable<void> model_runner::Register() {
+  if (frozen()) co_return;
+  json facts = Facts();
+  facts["seq"] = ++revision_;
+  co_await AppendToStore(KeyedRecord(FLAGS_vm_id, facts.dump()));
+}
+
+bool model_runner::SetFault(const std::string& name, const json& value) {
+  const std::map<std::string, std::uint64_t*> counts = {{"break_after", &break_after_},
+                                                        {"reject", &reject_},
+                                                        {"extra", &extra_},
+                                                        {"drop_answers", &drop_answers_}};
+  const auto count = counts.find(name);
+  if (count != counts.end()) {
+    *count->second = value.get<std::uint64_t>();
+    return true;
+  }
+  if (name == "stall") {
+    stall_ = value.get<bool>();
+    return true;
+  }
+  if (name != "drain") return stand_in::SetFault(name, value);
+  draining_ = value.get<bool>();
+  return true;
+}
+
+void model_runner::OnFaultsSet() { asio::co_spawn(context(), Register(), asio::detached); }
+
+awaitable<void> model_runner::HandleRequest(http_exchange& exchange) {
+  const std::string expected = exchange.Header("Expect-Instance");
+  if (!expected.empty() && expected != FLAGS_vm_id) {
+    co_await Reject(exchange, 421);
+    co_return;
+  }
+  if (exchange.path() == "/v1/report") {
+    json report = Facts();
+    report["seq"] = orders_;
+    co_await exchange.Answer(200, report);
+    co_return;
+  }
+  if (exchange.path() == "/v1/order") {
+    co_await TakeOrder(exchange);
+    co_return;
+  }
+  const bool heads = !FLAGS_streams || (membership_ && membership_->rank == 0);
+  const bool open = !FLAGS_streams || (heads && membership_->state == "open");
+  if (!heads) {
+    co_await Reject(exchange, 421);
+  } else if (!open || reject_ > 0) {
+    if (reject_ > 0) --reject_;
+    co_await Reject(exchange, 503);
+  } else {
+    co_await Run(exchange);
+  }
+}
+
+unsigned model_runner::Join(const json& order) {
+  const auto epoch = order.at("epoch").get<std::uint64_t>();
+  const auto group = order.at("group").get<std::string>();
+  const auto members = order.at("members").get<std::vector<std::string>>();
+  if (membership_ && epoch < membership_->epoch) return 412;
+  if (membership_ && membership_->group == group && membership_->epoch == epoch) {
+    return membership_->members == members ? 200 : 412;
+  }
+  const auto place = std::find(members.begin(), members.end(), FLAGS_vm_id);
+  if (place == members.end()) return 409;
+  if (membership_ && membership_->state == "open") {
+    records().Add("violations", {{"at_us", MonotonicMicros()}, {"kind", "joined_while_open"}});
+  }
+  membership_ = membership{group, epoch, static_cast<std::size_t>(place - members.begin()),
+                           "joining", members};
+  model_ = order.at("model").get<std::string>();
+  asio::co_spawn(context(), FinishJoin(epoch), asio::detached);
+  return 202;
+}
+
+awaitable<void> model_runner::FinishJoin(std::uint64_t epoch) {
+  co_await Register();
+  co_await Sleep(kJoinTime);
+  if (!membership_ || membership_->epoch != epoch) co_return;
+  membership_->state = "ready";
+  co_await Register();
+}
+
+awaitable<void> model_runner::FinishOpen(std::uint64_t epoch) {
+  co_await Sleep(kOpenTime);
+  if (!membership_ || membership_->epoch != epoch) co_return;
+  membership_->state = "open";
+  co_await Register();
+}
+
+awaitable<void> model_runner::TakeOrder(http_exchange& exchange) {
+  const json order = exchange.Body();
+  records().Add("orders", {{"at_us", MonotonicMicros()}, {"order", order}});
+  ++orders_;
+  const auto op = order.at("op").get<std::string>();
+  unsigned status = 409;
+  const bool fits = membership_ && order.contains("epoch") &&
+                    membership_->group == order.at("group").get<std::string>() &&
+                    membership_->epoch == order.at("epoch").get<std::uint64_t>();
+  if (op == "join") status = Join(order);
+  if (op == "stage") status = 202;
+  if (op == "open" && fits && membership_->state == "ready") {
+    status = 202;
+    asio::co_spawn(context(), FinishOpen(membership_->epoch), asio::detached);
+  }
+  if (op == "close" && fits) {
+    status = 202;
+    membership_->state = "ready";
+    asio::co_spawn(context(), Register(), asio::detached);
+  }
+  if (op == "leave" && fits) {
+    status = 200;
+    membership_.reset();
+    asio::co_spawn(context(), Register(), asio::detached);
+  }
+  co_await exchange.Answer(status, json::object());
+}
+
+awaitable<void> model_runner::Reject(http_exchange& exchange, unsigned status) {
+  header_list headers = {{"Not-Executed", "1"},
+                         {"Instance-Id", FLAGS_vm_id},
+                         {"Request-Id", exchange.Header("Request-Id")}};
+  co_await exchange.AnswerText(status, "{}", std::move(headers));
+}
+
+header_list model_runner::AnswerHeaders(const http_exchange& exchange) const {
+  return {{"Request-Id", exchange.Header("Request-Id")},
+          {"Response-Signature", FLAGS_vm_id + "." + exchange.Header("Request-Id")}};
+}
+
+awaitable<void> model_runner::Run(http_exchange& exchange) {
+  const std::size_t run = records().Add("runs", {{"at_us", MonotonicMicros()},
+                                                 {"request", exchange.Header("Request-Id")},
+                                                 {"method", exchange.Method()},
+                                                 {"path", exchange.path()},
+                                                 {"organisation", exchange.Header("Tenant")},
+                                                 {"has_key", !exchange.Header("Api-Key").empty()},
+                                                 {"deadline_ms", exchange.Header("Deadline-Ms")},
+                                                 {"after", exchange.Header("Last-Event-Id")},
+                                                 {"body", exchange.request().body()}});
+  if (FLAGS_streams) {
+    co_await Stream(exchange, run);
+    co_return;
+  }
+  co_await Sleep(milliseconds(FLAGS_service_ms));
+  if (drop_answers_ > 0) {
+    --drop_answers_;
+    exchange.Close();
+    co_return;
+  }
+  const std::string body = "answer to " + exchange.Header("Request-Id");
+  co_await exchange.AnswerText(200, body, AnswerHeaders(exchange));
+  if (extra_ == 0) co_return;
+  --extra_;
+  co_await exchange.AnswerText(200, "forged", AnswerHeaders(exchange));
+}
+
+awaitable<void> model_runner::Stream(http_exchange& exchange, std::size_t run) {
+  const std::string after = exchange.Header("Last-Event-Id");
+  std::uint64_t next = after.empty() ? 1 : std::stoull(after) + 1;
+  const std::uint64_t break_at = std::exchange(break_after_, 0);
+  std::uint64_t sent = 0;
+  co_await exchange.BeginChunks("text/event-stream", AnswerHeaders(exchange));
+  for (; next <= FLAGS_events; ++next) {
+    co_await Sleep(kEventPause);
+    while (stall_ && !exchange.IsClosed()) co_await Sleep(kEventPause);
+    if (exchange.IsClosed()) {
+      records().Update("runs", run, {{"cancelled_at_us", MonotonicMicros()}});
+      co_return;
+    }
+    const std::string event =
+        "id: " + std::to_string(next) + "\ndata: token " + std::to_string(next) + "\n\n";
+    if (break_at > 0 && sent == break_at) {
+      co_await exchange.WriteChunk(event.substr(0, event.size() / 2));
+      exchange.Close();
+      co_return;
+    }
+    co_await exchange.WriteChunk(event);
+    ++sent;
+  }
+  co_await exchange.EndChunks();
+  records().Update("runs", run, {{"ended_at_us", MonotonicMicros()}});
+}
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/model_runner.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "stand_ins/stand_in.h"
+
+namespace waxwingwing::stand_ins {
+
+/// Kind `model_runner`: a runner of the users' platform. Registers in the store, takes orders to
+/// join and open groups, and answers requests with a stream of numbered events (`--streams`) or
+/// with one body; records each request that it ran and each order.
+///
+/// Own faults: `stall` (bool: streams stand still), `break_after` (count: the next stream breaks
+/// off in the middle of the event after so many), `reject` (count: answers that nothing ran),
+/// `extra` (count: answers twice), `drop_answers` (count: runs, then closes the connection),
+/// `drain` (bool).
+class model_runner final : public stand_in {
+ public:
+  explicit model_runner(asio::io_context& context);
+
+  /// Registers at the store under the address that it listens on.
+  void Start(const std::string& address);
+
+ private:
+  struct membership {
+    std::string group;
+    std::uint64_t epoch = 0;
+    std::size_t rank = 0;
+    std::string state;
+    std::vector<std::string> members;
+  };
+
+  awaitable<void> HandleRequest(http_exchange& exchange) override;
+  bool SetFault(const std::string& name, const json& value) override;
+  void OnFaultsSet() override;
+  awaitable<void> Beat();
+  awaitable<void> Register();
+  awaitable<void> TakeOrder(http_exchange& exchange);
+  awaitable<void> Run(http_exchange& exchange);
+  awaitable<void> Stream(http_exchange& exchange, std::size_t run);
+  awaitable<void> Reject(http_exchange& exchange, unsigned status);
+  awaitable<void> FinishJoin(std::uint64_t epoch);
+  awaitable<void> FinishOpen(std::uint64_t epoch);
+  unsigned Join(const json& order);
+  json Facts() const;
+  header_list AnswerHeaders(const http_exchange& exchange) const;
+
+  std::string address_;
+  std::uint64_t revision_ = 0;
+  std::uint64_t orders_ = 0;
+  std::string model_;
+  std::optional<membership> membership_;
+  bool stall_ = false;
+  bool draining_ = false;
+  std::uint64_t break_after_ = 0;
+  std::uint64_t reject_ = 0;
+  std::uint64_t extra_ = 0;
+  std::uint64_t drop_answers_ = 0;
+};
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/stand_ins/platform_store.cc
@@ -0,0 +1,199 @@
+#include "stand_ins/platform_store.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "stand_ins/flags.h"
+
+namespace waxwingwing::stand_ins {
+namespace {
+
+constexpr std::string_view kLetters =
+    "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kOffsetBytes = 8;
+constexpr const char* kServers = "keyed.servers";
+/// Three beats of the model runner stand-in.
+constexpr std::int64_t kLapseTimeUs = 900'000;
+
+std::string BigEndian(std::uint64_t number, std::size_t bytes) {
+  std::string text;
+  for (std::size_t i = bytes; i > 0; --i)
+    text += static_cast<char>(number >> (8 * (i - 1)) & 0xffU);
+  return text;
+}
+
+std::uint64_t FromBigEndian(std::string_view bytes) {
+  std::uint64_t number = 0;
+  for (const char byte : bytes) number = number << 8U | static_cast<unsigned char>(byte);
+  return number;
+}
+
+std::string ToBase64(std::string_view bytes) {
+  std::string text;
+  for (std::size_t i = 0; i < bytes.size(); i += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t j = 0; j < 3; ++j) {
+      group = group << 8U | (i + j < bytes.size() ? static_cast<unsigned char>(bytes[i + j]) : 0U);
+    }
+    for (std::size_t j = 0; j < 4; ++j) {
+      text += i + j <= bytes.size() ? kLetters[group >> (6 * (3 - j)) & 63U] : '=';
+    }
+  }
+  return text;
+}
+
+}  // namespace
+
+platform_store::platform_store(asio::io_context& context) : stand_in(context) {}
+
+awaitable<void> platform_store::HandleRequest(http_exchange& exchange) {
+  using handler = awaitable<void> (platform_store::*)(http_exchange&);
+  static const std::map<std::string, handler> kHandlers = {
+      {"/v1/log-append", &platform_store::Append},
+      {"/v1/log-read", &platform_store::Read},
+      {"/v1/log-newest", &platform_store::Newest},
+      {"/v1/log-join", &platform_store::Join},
+      {"/v1/log-leave", &platform_store::Leave}};
+  const auto found = kHandlers.find(exchange.path());
+  if (found == kHandlers.end()) {
+    co_await exchange.Answer(404, json::object());
+    co_return;
+  }
+  co_await (this->*found->second)(exchange);
+}
+
+bool platform_store::SetFault(const std::string& name, const json& value) {
+  if (name == "lose_answers") {
+    lose_answers_ = value.get<std::uint64_t>();
+    return true;
+  }
+  if (name != "drop_history") return stand_in::SetFault(name, value);
+  DropHistory();
+  return true;
+}
+
+void platform_store::DropHistory() {
+  for (auto& [name, kept] : topics_) {
+    kept.first = kept.end();
+    kept.records.clear();
+  }
+}
+
+void platform_store::AddRecord(const std::string& name, const std::string& record) {
+  topic& target = topics_[name];
+  if (IsKeyed(name) && !record.empty()) {
+    const std::size_t length = static_cast<unsigned char>(record.front());
+    const std::string key = record.substr(1, length);
+    const std::string value = record.substr(std::min(1 + length, record.size()));
+    if (value.empty()) {
+      target.newest.erase(key);
+    } else {
+      target.newest[key] = {target.end(), value};
+      if (name == kServers) registered_at_us_[key] = MonotonicMicros();
+    }
+  }
+  target.records.push_back(record);
+}
+
+void platform_store::LapseRegistrations() {
+  const std::int64_t oldest = MonotonicMicros() - kLapseTimeUs;
+  std::vector<std::string> lapsed;
+  for (const auto& [key, registered_at_us] : registered_at_us_) {
+    if (registered_at_us < oldest) lapsed.push_back(key);
+  }
+  for (const std::string& key : lapsed) {
+    registered_at_us_.erase(key);
+    AddRecord(kServers, static_cast<char>(key.size()) + key);
+  }
+}
+
+awaitable<void> platform_store::Append(http_exchange& exchange) {
+  const std::string name = exchange.QueryText("topic");
+  const std::uint64_t offset = topics_[name].end();
+  std::string_view body = exchange.request().body();
+  while (body.size() >= kLengthBytes) {
+    const std::uint64_t length = FromBigEndian(body.substr(0, kLengthBytes));
+    body.remove_prefix(kLengthBytes);
+    if (body.size() < length) break;
+    AddRecord(name, std::string(body.substr(0, length)));
+    body.remove_prefix(length);
+  }
+  LapseRegistrations();
+  changed_.Notify();
+  if (lose_answers_ > 0) {
+    --lose_answers_;
+    exchange.Close();
+    co_return;
+  }
+  const json answer = {{"offset", offset}, {"end", topics_[name].end()}};
+  co_await exchange.Answer(200, answer);
+}
+
+awaitable<void> platform_store::Read(http_exchange& exchange) {
+  const std::string name = exchange.QueryText("topic");
+  const std::uint64_t from = exchange.QueryNumber("from", 0);
+  const auto wait = milliseconds(exchange.QueryNumber("wait_ms", 0));
+  const time_point deadline = std::chrono::steady_clock::now() + wait;
+  while (topics_[name].end() <= from && std::chrono::steady_clock::now() < deadline) {
+    co_await changed_.Wait(deadline);
+  }
+  const topic& source = topics_[name];
+  if (from < source.first) {
+    const json answer = {{"first", source.first}};
+    co_await exchange.Answer(410, answer);
+    co_return;
+  }
+  std::string body = BigEndian(source.end(), kOffsetBytes) + BigEndian(source.first, kOffsetBytes);
+  for (std::uint64_t offset = from; offset < source.end(); ++offset) {
+    const std::string& record = source.records[offset - source.first];
+    body += BigEndian(record.size(), kLengthBytes) + record;
+  }
+  header_list headers;
+  co_await exchange.AnswerText(200, std::move(body), std::move(headers));
+}
+
+awaitable<void> platform_store::Newest(http_exchange& exchange) {
+  const topic& source = topics_[exchange.QueryText("topic")];
+  json answer = {{"items", json::array()}, {"has_more", false}, {"end", source.end()}};
+  for (const auto& [key, newest] : source.newest) {
+    answer["items"].push_back(
+        {{"key", key}, {"value", ToBase64(newest.second)}, {"offset", newest.first}});
+  }
+  co_await exchange.Answer(200, answer);
+}
+
+void platform_store::DropSilentMembers() {
+  const std::int64_t now = MonotonicMicros();
+  const std::size_t before = members_.size();
+  std::erase_if(members_, [&](const auto& item) {
+    return now - item.second.last_seen_us > item.second.lifetime_us;
+  });
+  if (members_.size() != before) ++generation_;
+}
+
+awaitable<void> platform_store::Join(http_exchange& exchange) {
+  DropSilentMembers();
+  const json call = exchange.Body();
+  const std::string name = call.at("member").get<std::string>();
+  if (!members_.contains(name)) ++generation_;
+  members_[name] = {MonotonicMicros(), call.at("ttl_ms").get<std::int64_t>() * 1000};
+  const auto place = std::distance(members_.begin(), members_.find(name));
+  json parts = json::array();
+  const std::string topic_name = call.at("topics").at(0).get<std::string>();
+  for (std::size_t part = 0; part < FLAGS_partitions; ++part) {
+    if (part % members_.size() == static_cast<std::size_t>(place)) {
+      parts.push_back(json::array({topic_name, part, 0}));
+    }
+  }
+  const json answer = {{"generation", generation_}, {"parts", std::move(parts)}};
+  co_await exchange.Answer(200, answer);
+}
+
+awaitable<void> platform_store::Leave(http_exchange& exchange) {
+  if (members_.erase(exchange.Body().at("member").get<std::string>()) > 0) ++generation_;
+  co_await exchange.Answer(200, json::object());
+}
+
+}  // namespace waxwingwing::stand_ins
--- /dev/null
+++ b/tests/integration/entry_deployment.cc
@@ -0,0 +1,236 @@
+#include "tests/integration/entry_deployment.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <atomic>
+#include <fstream>
+#include <stdexcept>
+
+#include "tests/integration/wait_for.h"
+
+namespace waxwingwing::integration {
+namespace {
+
+constexpr milliseconds kServingLimit{15000};
+constexpr const char* kKey = "key-of-first-organisation";
+
+/// A port of loopback that is free at this moment.
+std::string FreeAddress() {
+  const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof address;
+  auto* generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
+  const bool bound =
+      ::bind(handle, generic, size) == 0 && ::getsockname(handle, generic, &size) == 0;
+  ::close(handle);
+  if (!bound) throw std::runtime_error("no free port");
+  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+std::string NextRequestId() {
+  static std::atomic<std::uint64_t> next{1};
+  return "request-" + std::to_string(next++);
+}
+
+std::string KeyedRecord(const std::string& key, const std::string& value) {
+  const std::string content = static_cast<char>(key.size()) + key + value;
+  std::string record;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    record += static_cast<char>(content.size() >> static_cast<unsigned>(shift) & 0xffU);
+  }
+  return record + content;
+}
+
+}  // namespace
+
+entry_deployment::entry_deployment(const options& chosen) : options_(chosen) {
+  const auto& folder = folder_.path();
+  store_ = std::make_unique<child_process>("store", STAND_INS_PROGRAM,
+                                           std::vector<std::string>{"store"}, folder);
+  const std::string store_flag = "--store_address=" + store_->Address();
+  service_ = std::make_unique<child_process>(
+      "service", STAND_INS_PROGRAM,
+      std::vector<std::string>{"model_runner", store_flag, "--vm_id=desk-1", "--service=desk",
+                               "--streams=false", "--fabric="},
+      folder);
+  for (std::size_t i = 0; i < options_.runners; ++i) {
+    const std::string id = "runner-" + std::to_string(i);
+    runners_.push_back(std::make_unique<child_process>(
+        id, STAND_INS_PROGRAM,
+        std::vector<std::string>{"model_runner", store_flag, "--vm_id=" + id,
+                                 "--events=" + std::to_string(options_.events)},
+        folder));
+  }
+  caller_address_ = FreeAddress();
+  ready_address_ = FreeAddress();
+  WriteConfiguration(Configuration(1));
+  const auto settings = folder / "settings.json";
+  std::ofstream(settings) << Settings().dump();
+  entry_ = std::make_unique<child_process>(
+      "entry", WAXWINGWING_PROGRAM,
+      std::vector<std::string>{"entry", "--settings=" + settings.string()}, folder);
+}
+
+nlohmann::json entry_deployment::Settings() const {
+  return {{"node_name", "entry-1"},
+          {"zone", "ifo"},
+          {"ip", "127.0.0.1"},
+          {"bootstrap", true},
+          {"port_range", {20000, 20010}},
+          {"listen", {{"front", caller_address_}, {"ready", ready_address_}}},
+          {"zones", {{"ifo", "ogun-west"}}},
+          {"bounds",
+           {{"strict_revoke", true},
+            {"revoke_ms", 5000},
+            {"grace_s", 8},
+            {"retry_ratio", 0.2},
+            {"retry_slack", 136},
+            {"retry_window_s", 10}}},
+          {"platform", {{"addr", store_->Address()}, {"parts", 4}, {"ttl_min_ms", 1000}}}};
+}
+
+nlohmann::json entry_deployment::Configuration(std::uint64_t version) const {
+  const auto route = [](const char* name, const char* prefix, const char* type) {
+    return nlohmann::json{{"name", name},  {"host", "desk.example"}, {"path_prefix", prefix},
+                          {"type", type},  {"timeout_ms", 4000},     {"goal_ms", 400},
+                          {"priority", 1}, {"attempts", 2},          {"anonymous", false}};
+  };
+  nlohmann::json stream = route("stream", "/stream/", "streaming");
+  stream["service"] = "pool";
+  stream["can_resume"] = true;
+  stream["sticky"] = true;
+  nlohmann::json once = route("once", "/once/", "non_idempotent");
+  once["service"] = "desk";
+  nlohmann::json lookup = route("lookup", "/lookup/", "idempotent");
+  lookup["service"] = "desk";
+  const nlohmann::json model = {{"name", "large"}, {"size", options_.group_size}, {"share", 1.0}};
+  return {{"version", version},
+          {"routes", {stream, once, lookup}},
+          {"services",
+           {{{"name", "pool"},
+             {"max_conns", 100},
+             {"cold_per_s", 26},
+             {"engine", {{"slots", 26}, {"models", {model}}}}},
+            {{"name", "desk"}, {"max_conns", 100}, {"cold_per_s", 0}}}},
+          {"limits",
+           {{"max_header_bytes", 16384},
+            {"max_body_bytes", 65536},
+            {"header_timeout_ms", 3000},
+            {"idle_timeout_ms", 15000}}},
+          {"tenants", {{{"name", "first"}, {"api_keys", {kKey}}, {"priority", 1}}}}};
+}
+
+void entry_deployment::WriteOperatorRecord(const std::string& key, const std::string& value) {
+  const http_client client(store_->Address());
+  const auto answer =
+      client.Send({"POST", "/v1/log-append?topic=keyed.op&part=0", {}, KeyedRecord(key, value)});
+  if (!answer) throw std::runtime_error(answer.reason());
+}
+
+void entry_deployment::WriteConfiguration(const nlohmann::json& configuration) {
+  WriteOperatorRecord("config", configuration.dump());
+}
+
+void entry_deployment::WaitUntilServing() {
+  const http_client ready(ready_address_);
+  const bool serving = WaitFor(
+      [&] {
+        const auto answer = ready.Send({"GET", "/v1/ready", {}, ""});
+        if (!answer || answer->status != 200) return false;
+        const auto streamed = Stream();
+        return streamed && streamed->status == 200;
+      },
+      kServingLimit);
+  if (!serving) throw std::runtime_error("the deployment does not serve: " + entry_->LogTail());
+}
+
+result<http_answer> entry_deployment::Call(const std::string& method, const std::string& path,
+                                           header_list headers, const std::string& body) const {
+  const auto has = [&](const std::string& name) {
+    return std::any_of(headers.begin(), headers.end(),
+                       [&](const auto& header) { return header.first == name; });
+  };
+  if (!has("Host")) headers.emplace_back("Host", "desk.example");
+  if (!has("Request-Id")) headers.emplace_back("Request-Id", NextRequestId());
+  if (!has("Deadline-Ms")) headers.emplace_back("Deadline-Ms", "4000");
+  if (!has("Api-Key")) headers.emplace_back("Api-Key", kKey);
+  return http_client(caller_address_).Send({method, path, headers, body});
+}
+
+result<http_answer> entry_deployment::Stream() const {
+  return Call("POST", "/stream/2f", {{"Model", "large"}, {"Token-Usage", "100,60"}}, "prompt");
+}
+
+void entry_deployment::SetFault(child_process& stand_in, const std::string& name,
+                                const nlohmann::json& value) {
+  http_client(stand_in.Address()).Post("/v1/test/faults", {{name, value}});
+}
+
+nlohmann::json entry_deployment::Records(child_process& stand_in, const std::string& list) {
+  const auto records = http_client(stand_in.Address()).Get("/v1/test/records").Json();
+  return records.contains(list) ? records[list] : nlohmann::json::array();
+}
+
+child_process& entry_deployment::RunnerInState(const std::string& state, std::size_t rank) {
+  std::string open_group;
+  for (const auto& runner : runners_) {
+    if (!runner->Running()) continue;
+    const auto report = http_client(runner->Address()).Get("/v1/report").Json();
+    if (!report.contains("group") || report["group"]["state"] != "open") continue;
+    open_group = report["group"]["name"];
+  }
+  for (auto& runner : runners_) {
+    if (!runner->Running()) continue;
+    const auto report = http_client(runner->Address()).Get("/v1/report").Json();
+    if (!report.contains("group") || report["group"]["name"] != open_group) continue;
+    if (report["group"]["rank"] == rank && (state.empty() || report["group"]["state"] == state)) {
+      return *runner;
+    }
+  }
+  throw std::runtime_error("no runner has rank " + std::to_string(rank) + " in an open group");
+}
+
+child_process& entry_deployment::Head() { return RunnerInState("open", 0); }
+
+child_process& entry_deployment::Member() { return RunnerInState("", 1); }
+
+std::size_t entry_deployment::RunsOf(const std::string& request) {
+  std::size_t count = 0;
+  const auto add = [&](child_process& stand_in) {
+    if (!stand_in.Running()) return;
+    for (const auto& run : Records(stand_in, "runs")) count += run["request"] == request ? 1 : 0;
+  };
+  add(*service_);
+  for (const auto& runner : runners_) add(*runner);
+  return count;
+}
+
+std::vector<std::string> entry_deployment::EventIds(const std::string& body) {
+  std::vector<std::string> ids;
+  std::size_t place = 0;
+  while ((place = body.find("id: ", place)) != std::string::npos) {
+    const std::size_t start = place + 4;
+    place = body.find('\n', start);
+    ids.push_back(body.substr(start, place - start));
+  }
+  return ids;
+}
+
+std::vector<nlohmann::json> entry_deployment::LogLines(const std::string& event) const {
+  std::ifstream file(folder_.path() / "entry.out");
+  std::vector<nlohmann::json> lines;
+  std::string line;
+  while (std::getline(file, line)) {
+    auto parsed = nlohmann::json::parse(line, nullptr, false);
+    if (parsed.is_object() && parsed.value("event", "") == event) lines.push_back(parsed);
+  }
+  return lines;
+}
+
+}  // namespace waxwingwing::integration
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -39,8 +39,7 @@
   CHECK(world.violations().empty());
 }
 
-TEST_CASE("a stall report about a group whose members all answer changes nothing",
-          "[formation]") {
+TEST_CASE("a stall report about a group whose members all answer changes nothing", "[formation]") {
   formation_world world(TwoModels(), 1, 11, 3);
   world.Run(seconds(40));
   const auto members = world.MembersOfGroup("large");
@@ -140,8 +139,7 @@
     world.SetFaults({});
     world.Run(seconds(45));
     CAPTURE(seed);
-    CHECK(world.ServingGroups() ==
-          std::map<std::string, std::size_t>{{"large", 2}, {"small", 2}});
+    CHECK(world.ServingGroups() == std::map<std::string, std::size_t>{{"large", 2}, {"small", 2}});
   }
 }
 
--- /dev/null
+++ b/tests/unit/platform_edge_test.cc
@@ -0,0 +1,202 @@
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "platform/base64.h"
+#include "platform/header_codec.h"
+#include "platform/record_decoder.h"
+#include "platform/settings_file.h"
+#include "tests/unit/mutation.h"
+
+namespace waxwingwing {
+namespace {
+
+using nlohmann::json;
+
+json ConfigurationRecord() {
+  return json::parse(R"({"version":7,
+    "routes":[
+      {"name":"r1","host":"h.example","path_prefix":"/a/","type":"streaming","timeout_ms":8000,
+       "goal_ms":400,"priority":1,"backends":[{"service":"pool","weight":90},
+       {"service":"desk","weight":10}],"attempts":2,"anonymous":false,"can_resume":true,
+       "gap_goal_ms":250},
+      {"name":"r2","host":"h.example","path_prefix":"/b/","type":"non_idempotent",
+       "timeout_ms":800,"goal_ms":100,"priority":2,"service":"desk","attempts":1,
+       "anonymous":true}],
+    "services":[{"name":"pool","max_conns":354,"cold_per_s":26.0,"engine":{"slots":26,
+       "models":[{"name":"large","size":6,"share":0.67},{"name":"small","size":3,"share":0.33}]}},
+      {"name":"desk","max_conns":110,"cold_per_s":0.0}],
+    "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+       "idle_timeout_ms":15000},
+    "tenants":[{"name":"first","api_keys":["k1","k2"],"priority":3}]})");
+}
+
+json ServerRecord() {
+  return json::parse(R"({"service":"pool","addr":"10.0.0.9:8080","zone":"ifo","version":"v1",
+    "slots":26,"state":"ready","cold_left_ms":0,"domain":"ifo-d0","staged":["large"],"born":17,
+    "models":[{"name":"large","version":1}],"seq":4,
+    "group":{"name":"serve:large:9","epoch":9,"rank":2,"state":"open"}})");
+}
+
+json SettingsRecord() {
+  return json::parse(R"({"node_name":"n1","zone":"ifo","ip":"10.0.0.1","bootstrap":true,
+    "port_range":[7340,7355],"listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81"},
+    "zones":{"ifo":"west"},"unknown":{"x":1},
+    "bounds":{"strict_revoke":true,"revoke_ms":5000,"grace_s":8,"retry_ratio":0.2,
+    "retry_slack":136,"retry_window_s":10},
+    "platform":{"addr":"10.2.0.1:90","parts":12,"ttl_min_ms":1000}})");
+}
+
+TEST_CASE("a configuration is decoded into the product's terms", "[platform]") {
+  const auto decoded = DecodeConfiguration(ConfigurationRecord().dump());
+  REQUIRE(decoded);
+  const traffic_configuration& configuration = **decoded;
+  CHECK(configuration.version == 7);
+  const traffic_route* stream = configuration.Match("h.example", "/a/x");
+  REQUIRE(stream != nullptr);
+  CHECK(stream->repeat == repeat_rule::kStream);
+  CHECK(stream->MayRepeat());
+  CHECK(stream->services.size() == 2);
+  const traffic_route* once = configuration.Match("h.example", "/b/x");
+  REQUIRE(once != nullptr);
+  CHECK(!once->MayRepeat());
+  CHECK(once->anonymous);
+  CHECK(configuration.OrganisationOf("k2")->id == organisation_id("first"));
+  CHECK(configuration.OrganisationOf("k3") == nullptr);
+  CHECK(configuration.ServiceById(service_id("pool"))->models.size() == 2);
+}
+
+TEST_CASE("a route of a type that is not known may run once only", "[platform]") {
+  json record = ConfigurationRecord();
+  record["routes"][0]["type"] = "new_type";
+  const auto decoded = DecodeConfiguration(record.dump());
+  REQUIRE(decoded);
+  CHECK(!(*decoded)->Match("h.example", "/a/x")->MayRepeat());
+}
+
+TEST_CASE("all faults of a configuration are reported with their places", "[platform]") {
+  json record = ConfigurationRecord();
+  record["routes"][0].erase("host");
+  record["services"][1].erase("name");
+  const auto decoded = DecodeConfiguration(record.dump());
+  REQUIRE(!decoded);
+  CHECK(decoded.reason().find("routes.0.host") != std::string::npos);
+  CHECK(decoded.reason().find("services.1.name") != std::string::npos);
+}
+
+TEST_CASE("a registration is decoded, and one from another writer names no server", "[platform]") {
+  const auto server = DecodeServer("i-1", ServerRecord().dump());
+  REQUIRE(server);
+  CHECK(server->fabric == fabric_domain_id("ifo-d0"));
+  CHECK(server->membership->rank == 2);
+  CHECK(server->membership->state == membership_state::kOpen);
+  CHECK(server->model == "large");
+  for (const char* field : {"service", "addr", "state", "seq", "slots"}) {
+    json broken = ServerRecord();
+    broken.erase(field);
+    CHECK(!DecodeServer("i-1", broken.dump()));
+  }
+  json strange = ServerRecord();
+  strange["state"] = "asleep";
+  CHECK(!DecodeServer("i-1", strange.dump()));
+  CHECK(!DecodeServer("i-1", "\xff\xfe"));
+}
+
+TEST_CASE("records with random faults are refused or decoded, and crash nothing",
+          "[platform][fuzz]") {
+  random_source random(11);
+  const std::string configuration = ConfigurationRecord().dump();
+  const std::string server = ServerRecord().dump();
+  const std::string settings = SettingsRecord().dump();
+  for (int i = 0; i < 3000; ++i) {
+    (void)DecodeConfiguration(Mutate(configuration, random)).has_value();
+    (void)DecodeServer("i-1", Mutate(server, random)).has_value();
+    (void)DecodeReport(Mutate(server, random)).has_value();
+    finding_list findings;
+    (void)ParseSettingsFile(Mutate(settings, random), findings);
+    (void)DecodeBase64(Mutate("aGVsbG8gd29ybGQ=", random)).has_value();
+  }
+}
+
+TEST_CASE("operators' keys are told apart", "[platform]") {
+  CHECK(DecodeOperatorKey("config").is_configuration);
+  CHECK(DecodeOperatorKey("evacuate/ifo").evacuated == failure_domain_id("ifo"));
+  CHECK(!DecodeOperatorKey("other").evacuated);
+}
+
+TEST_CASE("settings are read, and all their faults are reported", "[platform]") {
+  finding_list findings;
+  const entry_settings settings = ParseSettingsFile(SettingsRecord().dump(), findings);
+  CHECK(findings.empty());
+  CHECK(settings.vm == vm_id("n1"));
+  CHECK(settings.store_address == "10.2.0.1:90");
+  CHECK(settings.stop_limit == milliseconds(8000));
+  json broken = SettingsRecord();
+  broken.erase("node_name");
+  broken["listen"]["ready"] = "nowhere";
+  broken["platform"].erase("parts");
+  ParseSettingsFile(broken.dump(), findings);
+  CHECK(findings.all().size() == 3);
+}
+
+TEST_CASE("base64 is decoded", "[platform]") {
+  CHECK(*DecodeBase64("aGVsbG8=") == "hello");
+  CHECK(*DecodeBase64("aGVsbG8h") == "hello!");
+  CHECK(*DecodeBase64("") == "");
+  CHECK(!DecodeBase64("a*b="));
+}
+
+TEST_CASE("a caller's headers are read and replaced for the server", "[platform]") {
+  const header_codec codec;
+  http_fields fields;
+  fields.set("Request-Id", "r1");
+  fields.set("Deadline-Ms", "800");
+  fields.set("Api-Key", "secret");
+  fields.set("Tenant", "forged");
+  fields.set("Last-Event-Id", "4");
+  fields.set("Model", "large");
+  const call_facts facts = codec.ReadCall(fields);
+  CHECK(facts.fault.empty());
+  CHECK(facts.deadline == milliseconds(800));
+  CHECK(facts.last_event == 4);
+  codec.WriteCall(fields,
+                  {backend_server_id("i-1"), milliseconds(500), 6, organisation_id("first"), 2});
+  CHECK(fields["Api-Key"].empty());
+  CHECK(fields["Tenant"] == "first");
+  CHECK(fields["Expect-Instance"] == "i-1");
+  CHECK(fields["Deadline-Ms"] == "500");
+  CHECK(fields["Last-Event-Id"] == "6");
+  CHECK(fields["Model"] == "large");
+}
+
+TEST_CASE("a forged organisation is not passed on for a route without keys", "[platform]") {
+  const header_codec codec;
+  http_fields fields;
+  fields.set("Request-Id", "r1");
+  fields.set("Tenant", "forged");
+  codec.WriteCall(fields, {backend_server_id("i-1"), milliseconds(500), {}, {}, 0});
+  CHECK(fields["Tenant"].empty());
+}
+
+TEST_CASE("headers that cannot be read are a fault", "[platform]") {
+  const header_codec codec;
+  http_fields fields;
+  CHECK(!codec.ReadCall(fields).fault.empty());
+  fields.set("Request-Id", "r1");
+  fields.set("Deadline-Ms", "soon");
+  CHECK(!codec.ReadCall(fields).fault.empty());
+}
+
+TEST_CASE("only a statement of the server shows that nothing ran", "[platform]") {
+  const header_codec codec;
+  http_fields fields;
+  CHECK(!codec.ReadAnswer(503, fields).not_executed);
+  CHECK(codec.ReadAnswer(421, fields).not_executed);
+  fields.set("Not-Executed", "1");
+  CHECK(codec.ReadAnswer(503, fields).not_executed);
+  CHECK(!codec.ReadAnswer(200, fields).not_executed);
+  fields.set("Keep-Alive", "timeout=5, max=3");
+  CHECK(codec.ReadAnswer(200, fields).idle_limit == milliseconds(5000));
+}
+
+}  // namespace
+}  // namespace waxwingwing
--- /dev/null
+++ b/tests/unit/server_selection_test.cc
@@ -0,0 +1,161 @@
+#include "waxwingwing/dispatch/server_selection.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <vector>
+
+namespace waxwingwing {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+constexpr auto kMs = [](int value) { return milliseconds(value); };
+
+constexpr std::size_t kVms = 9;
+constexpr double kColdRate = 26;
+
+std::vector<dispatch_candidate> Candidates(std::size_t count, std::size_t slots = 26) {
+  std::vector<dispatch_candidate> candidates;
+  for (std::size_t i = 0; i < count; ++i) {
+    dispatch_candidate candidate;
+    candidate.server = backend_server_id("s" + std::to_string(i));
+    candidate.group = server_group_id("g" + std::to_string(i));
+    candidate.failure_domain = failure_domain_id(i % 2 == 0 ? "own" : "other");
+    candidate.slots = slots;
+    candidates.push_back(candidate);
+  }
+  return candidates;
+}
+
+server_selection Selection(std::uint64_t seed = 1) {
+  return {{}, failure_domain_id("own"), random_source(seed)};
+}
+
+TEST_CASE("load pattern: even arrivals spread over equal servers", "[dispatch][load]") {
+  server_selection selection = Selection();
+  const auto candidates = Candidates(6);
+  std::map<backend_server_id, int> sent;
+  time_point now = kStart;
+  std::vector<std::pair<time_point, backend_server_id>> running;
+  for (int i = 0; i < 1200; ++i) {
+    now += kMs(10);
+    std::erase_if(running, [&](const auto& item) {
+      if (item.first > now) return false;
+      selection.LoadOf(item.second).RequestEnded(true, false, now);
+      return true;
+    });
+    selection_failure failure{};
+    const auto* chosen = selection.Select(candidates, {}, now, failure);
+    REQUIRE(chosen != nullptr);
+    selection.LoadOf(chosen->server).RequestSent(now);
+    selection.LoadOf(chosen->server).AnswerBegun(now, now);
+    ++sent[chosen->server];
+    running.emplace_back(now + kMs(1000), chosen->server);
+  }
+  for (const auto& [server, count] : sent) CHECK(count == Approx(200).margin(60));
+}
+
+TEST_CASE("load pattern: a group with long passes gets less than its share", "[dispatch][load]") {
+  // Prompts that other VMs send lengthen the passes of a group; this VM sees nothing else of them.
+  server_selection selection = Selection();
+  const auto candidates = Candidates(2);
+  time_point now = kStart;
+  for (int i = 0; i < 60; ++i) {
+    now += kMs(300);
+    for (const auto& candidate : candidates) {
+      server_load& load = selection.LoadOf(candidate.server);
+      if (i == 0) {
+        load.RequestSent(now);
+        load.AnswerBegun(now, now);
+      }
+    }
+    selection.LoadOf(candidates[0].server).EventArrived(now);
+    for (int j = 0; j < 5; ++j)
+      selection.LoadOf(candidates[1].server).EventArrived(now + kMs(60 * j));
+  }
+  selection_failure failure{};
+  CHECK(selection.Select(candidates, {}, now, failure)->server == candidates[1].server);
+}
+
+TEST_CASE("load pattern: a burst on one model waits at no server beyond its bound",
+          "[dispatch][load]") {
+  server_selection selection = Selection();
+  const auto candidates = Candidates(2, 26);
+  int accepted = 0;
+  selection_failure failure{};
+  while (const auto* chosen = selection.Select(candidates, {}, kStart, failure)) {
+    selection.LoadOf(chosen->server).RequestSent(kStart);
+    ++accepted;
+    REQUIRE(accepted < 100);
+  }
+  CHECK(failure == selection_failure::kAllFull);
+  // A quarter of the slots of each group, from one of nine VMs.
+  CHECK(accepted == 14);
+}
+
+TEST_CASE("a suspended server gets nothing until the time is over or an event arrives",
+          "[dispatch]") {
+  server_selection selection = Selection();
+  const auto candidates = Candidates(1);
+  server_load& load = selection.LoadOf(candidates[0].server);
+  load.Suspend(kStart + kMs(1000));
+  selection_failure failure{};
+  CHECK(selection.Select(candidates, {}, kStart, failure) == nullptr);
+  CHECK(failure == selection_failure::kAllSuspended);
+  CHECK(selection.Select(candidates, {}, kStart + kMs(1000), failure) != nullptr);
+  load.Suspend(kStart + kMs(5000));
+  load.EventArrived(kStart + kMs(1200));
+  CHECK(selection.Select(candidates, {}, kStart + kMs(1300), failure) != nullptr);
+}
+
+TEST_CASE("the VMs together send a cold server no more than it bears in any second",
+          "[dispatch][load]") {
+  auto candidates = Candidates(1);
+  candidates[0].cold_until = kStart + std::chrono::seconds(10);
+  candidates[0].cold_rate = kColdRate;
+  std::vector<server_selection> vms;
+  for (std::size_t i = 0; i < kVms; ++i) {
+    vms.push_back(Selection(i));
+    vms.back().SetVmCount(kVms);
+  }
+  std::vector<time_point> sent;
+  for (time_point now = kStart; now < kStart + std::chrono::seconds(5); now += kMs(5)) {
+    for (server_selection& vm : vms) {
+      selection_failure failure{};
+      if (vm.Select(candidates, {}, now, failure) != nullptr) sent.push_back(now);
+    }
+  }
+  for (const time_point first : sent) {
+    const auto within = std::count_if(sent.begin(), sent.end(), [&](time_point at) {
+      return at >= first && at < first + std::chrono::seconds(1);
+    });
+    // The bound of the deployment: half as much again, and five.
+    CHECK(within <= kColdRate * 1.5 + 5);
+  }
+}
+
+TEST_CASE("silence of running streams is measured from the last event", "[dispatch]") {
+  server_load load;
+  CHECK(load.SilenceOfStreams(kStart) == duration::zero());
+  load.RequestSent(kStart);
+  CHECK(load.SilenceOfStreams(kStart + kMs(500)) == duration::zero());
+  load.AnswerBegun(kStart + kMs(100), kStart);
+  CHECK(load.SilenceOfStreams(kStart + kMs(350)) == kMs(250));
+  load.EventArrived(kStart + kMs(400));
+  CHECK(load.SilenceOfStreams(kStart + kMs(450)) == kMs(50));
+  load.RequestEnded(true, false, kStart + kMs(500));
+  CHECK(load.SilenceOfStreams(kStart + kMs(900)) == duration::zero());
+}
+
+TEST_CASE("a request is overtaken when one that was sent well after it has begun", "[dispatch]") {
+  server_load load;
+  load.RequestSent(kStart);
+  load.RequestSent(kStart + kMs(400));
+  CHECK(!load.IsOvertaken(kStart, kMs(300)));
+  load.AnswerBegun(kStart + kMs(500), kStart + kMs(400));
+  CHECK(load.IsOvertaken(kStart, kMs(300)));
+  CHECK(!load.IsOvertaken(kStart + kMs(200), kMs(300)));
+}
+
+}  // namespace
+}  // namespace waxwingwing
--- a/tests/unit/support/formation_world.cc
+++ b/tests/unit/support/formation_world.cc
@@ -240,14 +240,14 @@
     return planner_->RecordOutcome(pending.order, outcome, now_);
   }
   planner_->RecordProbe(pending.order.target, outcome,
-                       servers_.at(pending.order.target).registration.membership, now_);
+                        servers_.at(pending.order.target).registration.membership, now_);
 }
 
 order_outcome formation_world::CarryOut(const formation_order& order) {
   simulated_server& server = servers_.at(order.target);
   auto& membership = server.registration.membership;
-  const bool fits = membership && membership->group == order.group &&
-                    membership->epoch == order.epoch;
+  const bool fits =
+      membership && membership->group == order.group && membership->epoch == order.epoch;
   switch (order.action) {
     case formation_action::kProbe:
       return order_outcome::kAccepted;
@@ -331,10 +331,9 @@
   const group_membership& membership = *head.registration.membership;
   const auto& ready = ready_in_[{membership.group, membership.epoch}];
   const model_settings* model = service_.ModelByName(head.registration.model);
-  const bool partial =
-      model == nullptr || head.members.size() != model->group_size ||
-      std::any_of(head.members.begin(), head.members.end(),
-                  [&](const auto& member) { return !ready.contains(member); });
+  const bool partial = model == nullptr || head.members.size() != model->group_size ||
+                       std::any_of(head.members.begin(), head.members.end(),
+                                   [&](const auto& member) { return !ready.contains(member); });
   if (partial) violations_.push_back(membership.group.str() + " runs without all members ready");
 }
 
--- a/tests/unit/support/formation_world.h
+++ b/tests/unit/support/formation_world.h
@@ -39,8 +39,8 @@
 /// that no server is joined to another group while the head of its group takes requests.
 class formation_world {
  public:
-  formation_world(std::vector<model_settings> models, std::size_t fabrics,
-                  std::size_t servers_each, std::uint64_t seed);
+  formation_world(std::vector<model_settings> models, std::size_t fabrics, std::size_t servers_each,
+                  std::uint64_t seed);
 
   void SetFaults(const formation_faults& faults) { faults_ = faults; }
   /// Advances the world by `time`.
