formation: convert stranded servers, let domains settle before loading

Cause: a fabric domain with 8 servers held a small group and five stranded servers of a large one; servers that returned from a cut one after the other were put into groups that had to load weights although better members registered a moment later; servers under old ids answered 421 and kept a group from forming for 2.5 s. Change: a group of the model with less work for each group is given up once the other model's weights are on a member's host; groups that load wait 0.4 s after the last registration; a join that reaches another server ends the attempt.

--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -18,6 +18,16 @@
 
 namespace waxwingwing {
 
+/// What it takes for a server to join a group of a model.
+enum class join_cost {
+  /// Its last group had the same model.
+  kNone,
+  /// It loads the weights from its host.
+  kFromHost,
+  /// It loads the weights from the store.
+  kFromStore,
+};
+
 struct group_planner_options {
   /// Spare servers that each fabric domain keeps loaded; one for each of two models.
   std::size_t spares = 2;
@@ -50,6 +60,9 @@
   milliseconds unknown_head_time{13000};
   /// How long servers that just registered may wait for the rest of their fabric domain.
   milliseconds settle_time{400};
+  /// A group of one model is given up for another one only when the other model has this many times
+  /// as much work for each group: loading takes 16 s.
+  double conversion_gain = 1.5;
   /// Loads that may begin within `load_window`; the platform's limit is 5.5 a second.
   std::size_t load_limit = 20;
   milliseconds load_window{5000};
@@ -85,6 +98,8 @@
 
   /// Whether an order or a change of state is awaited, so that the next round should come soon.
   bool IsBusy() const { return busy_; }
+  /// Fabric domains that hold other numbers of groups than they should, as text for log lines.
+  const std::string& shortage() const { return shortage_; }
 
  private:
   enum class phase { kForming, kServing, kClosing, kReleasing };
@@ -125,7 +140,6 @@
     std::optional<time_point> answered_at;
     /// Until when an ordered load onto the host may take.
     std::optional<time_point> staging_until;
-    std::optional<time_point> first_seen;
   };
 
   enum class member_condition { kPresent, kDraining, kUnlisted, kLost };
@@ -160,7 +174,20 @@
   bool AnswersSince(const group_record& group, time_point since);
   void Probe(const backend_server_id& id);
   void FormMissing();
-  bool FormGroup(const fabric_domain_id& fabric, const model_settings& model);
+  /// Forms a group of free servers none of which costs more than `most`.
+  bool FormGroup(const fabric_domain_id& fabric, const model_settings& model, join_cost most);
+  /// Gives up a group of another model for one of `model`, which the domain lacks servers for.
+  void ConvertGroup(const fabric_domain_id& fabric, const model_settings& model,
+                    const group_counts& targets, const group_counts& present);
+  group_record* FindSurplus(const fabric_domain_id& fabric, const model_settings& model,
+                            const group_counts& targets, const group_counts& present);
+  bool IsStagedOrAsked(const backend_server_id& id, const model_settings& model);
+  std::size_t CountGroups(const std::string& model) const;
+  /// The groups that a domain lacks, those with the largest share first.
+  std::vector<const model_settings*> MissingModels(const group_counts& targets,
+                                                   const group_counts& present) const;
+  void DescribeShortage(const fabric_domain_id& fabric, std::size_t usable,
+                        const group_counts& targets, const group_counts& present);
   void KeepSpares(const fabric_domain_id& fabric);
   void Order(const backend_server_id& target, formation_action action, const group_record& group);
   bool MaySend(const backend_server_id& target, formation_action action,
@@ -181,6 +208,7 @@
   std::uint64_t highest_epoch_ = 0;
   bool busy_ = false;
   bool loads_limited_ = true;
+  std::string shortage_;
 
   // Valid during Plan.
   const service_settings* service_ = nullptr;
--- a/src/entry/formation_controller.cc
+++ b/src/entry/formation_controller.cc
@@ -68,6 +68,11 @@
       asio::co_spawn(entry_.context, Carry(service.id, std::move(order)), asio::detached);
     }
     busy_ = busy_ || planner.IsBusy();
+    std::string& known_shortage = shortages_[service.id];
+    if (planner.shortage() == known_shortage) continue;
+    known_shortage = planner.shortage();
+    entry_.log.Write("groups_missing",
+                     {{"service", service.id.str()}, {"domains", known_shortage}});
   }
 }
 
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -17,10 +17,9 @@
   return std::find(server.staged.begin(), server.staged.end(), model) != server.staged.end();
 }
 
-/// 0: joins without loading, 1: loads from its host, 2: loads from the weight store.
-int JoinCost(const backend_server& server, const std::string& model) {
-  if (server.model == model) return 0;
-  return HasStaged(server, model) ? 1 : 2;
+join_cost CostOf(const backend_server& server, const std::string& model) {
+  if (server.model == model) return join_cost::kNone;
+  return HasStaged(server, model) ? join_cost::kFromHost : join_cost::kFromStore;
 }
 
 }  // namespace
@@ -77,9 +76,9 @@
     server.silent_since = server.silent_since.value_or(now);
     ++server.silent_probes;
   }
-  if (order.action == formation_action::kJoin && outcome == order_outcome::kOutdated) {
-    StartReleasing(group);
-  }
+  const bool cannot_join =
+      outcome == order_outcome::kOutdated || outcome == order_outcome::kWrongServer;
+  if (order.action == formation_action::kJoin && cannot_join) StartReleasing(group);
 }
 
 void group_planner::RecordProbe(const backend_server_id& id, order_outcome outcome,
@@ -117,7 +116,6 @@
   for (const auto& [id, known] : directory_->entries()) {
     if (known.server.service != service_->id) continue;
     server_record& server = servers_[id];
-    if (!server.first_seen) server.first_seen = now_;
     if (!server.listed_since) server.listed_since = now_;
     server.unlisted_since.reset();
     server.outlived_since.reset();
@@ -473,7 +471,7 @@
     const fabric_domain_id& fabric = known.server.fabric;
     ++usable[fabric];
     time_point& seen = newest[fabric];
-    seen = std::max(seen, *servers_[id].first_seen);
+    seen = std::max(seen, *servers_[id].listed_since);
     if (!taken_.contains(id)) free_[fabric].push_back(id);
   }
   for (const auto& [id, group] : groups_) {
@@ -482,30 +480,107 @@
     if (head != nullptr) ++present[head->server.fabric][group.model];
   }
   const auto targets = ComputeFormationTargets(service_->models, usable, options_.spares);
+  shortage_.clear();
   for (const auto& [fabric, counts] : targets) {
-    std::vector<const model_settings*> missing;
-    for (const auto& [name, count] : counts) {
-      for (std::size_t i = present[fabric][name]; i < count; ++i) {
-        missing.push_back(service_->ModelByName(name));
-      }
-    }
-    std::stable_sort(missing.begin(), missing.end(), [](const auto* left, const auto* right) {
-      return left->share > right->share;
-    });
+    DescribeShortage(fabric, usable[fabric], counts, present[fabric]);
+    // Servers that return together register one after the other; a group that needs no loading
+    // does not wait for better members.
     const bool settled = now_ - newest[fabric] > options_.settle_time;
     if (!settled) busy_ = true;
-    for (const model_settings* model : missing) {
-      if (settled) FormGroup(fabric, *model);
+    for (const model_settings* model : MissingModels(counts, present[fabric])) {
+      if (FormGroup(fabric, *model, settled ? join_cost::kFromStore : join_cost::kNone)) continue;
+      if (settled) ConvertGroup(fabric, *model, counts, present[fabric]);
     }
     if (settled) KeepSpares(fabric);
   }
 }
 
+std::vector<const model_settings*> group_planner::MissingModels(const group_counts& targets,
+                                                                const group_counts& present) const {
+  std::vector<const model_settings*> missing;
+  for (const auto& [name, count] : targets) {
+    const auto held = present.find(name);
+    for (std::size_t i = held == present.end() ? 0 : held->second; i < count; ++i) {
+      missing.push_back(service_->ModelByName(name));
+    }
+  }
+  std::stable_sort(missing.begin(), missing.end(),
+                   [](const auto* left, const auto* right) { return left->share > right->share; });
+  return missing;
+}
+
+void group_planner::DescribeShortage(const fabric_domain_id& fabric, std::size_t usable,
+                                     const group_counts& targets, const group_counts& present) {
+  const auto missing = MissingModels(targets, present);
+  if (missing.empty()) return;
+  shortage_ += fabric.str() + " usable=" + std::to_string(usable) +
+               " free=" + std::to_string(free_[fabric].size()) + " missing=";
+  for (const model_settings* model : missing) shortage_ += model->name + " ";
+}
+
+std::size_t group_planner::CountGroups(const std::string& model) const {
+  return static_cast<std::size_t>(
+      std::count_if(groups_.begin(), groups_.end(), [&](const auto& item) {
+        return item.second.model == model && item.second.current == phase::kServing;
+      }));
+}
+
+group_planner::group_record* group_planner::FindSurplus(const fabric_domain_id& fabric,
+                                                        const model_settings& model,
+                                                        const group_counts& targets,
+                                                        const group_counts& present) {
+  for (auto& [id, group] : groups_) {
+    if (group.current != phase::kServing || group.model == model.name) continue;
+    const auto* head = directory_->Find(group.members.front());
+    if (head == nullptr || head->server.fabric != fabric) continue;
+    const model_settings* own = service_->ModelByName(group.model);
+    const auto target = targets.find(group.model);
+    const auto held = present.find(group.model);
+    const bool surplus = own != nullptr && held != present.end() &&
+                         held->second > (target == targets.end() ? 0 : target->second);
+    if (!surplus || free_[fabric].size() + group.members.size() < model.group_size) continue;
+    const std::size_t others = CountGroups(group.model);
+    const double lost = own->share / static_cast<double>(others);
+    const double gained = model.share / static_cast<double>(CountGroups(model.name) + 1);
+    if (others > 1 && gained > lost * options_.conversion_gain) return &group;
+  }
+  return nullptr;
+}
+
+void group_planner::ConvertGroup(const fabric_domain_id& fabric, const model_settings& model,
+                                 const group_counts& targets, const group_counts& present) {
+  group_record* group = FindSurplus(fabric, model, targets, present);
+  if (group == nullptr) return;
+  // Weights are loaded beside the group's requests; the group ends only when they are there.
+  std::size_t needed = model.group_size - free_[fabric].size();
+  bool staged = true;
+  for (std::size_t rank = group->members.size(); rank > 0 && needed > 0; --rank, --needed) {
+    staged = IsStagedOrAsked(group->members[rank - 1], model) && staged;
+  }
+  if (!staged) return;
+  group->current = phase::kClosing;
+  group->phase_since = now_;
+  AdvanceClosing(*group);
+}
+
+bool group_planner::IsStagedOrAsked(const backend_server_id& id, const model_settings& model) {
+  const auto* known = directory_->Find(id);
+  if (known == nullptr) return false;
+  if (HasStaged(known->server, model.name)) return true;
+  auto& staging_until = servers_[id].staging_until;
+  if ((staging_until && now_ < *staging_until) || !TakeLoad(1)) return false;
+  staging_until = now_ + options_.forming_limit;
+  group_record stage;
+  stage.model = model.name;
+  Order(id, formation_action::kStage, stage);
+  return false;
+}
+
 std::size_t group_planner::LoadsNeeded(const std::vector<backend_server_id>& members,
                                        const std::string& model) const {
   return static_cast<std::size_t>(
       std::count_if(members.begin(), members.end(), [&](const backend_server_id& id) {
-        return JoinCost(directory_->Find(id)->server, model) == 2;
+        return CostOf(directory_->Find(id)->server, model) == join_cost::kFromStore;
       }));
 }
 
@@ -517,13 +592,16 @@
   return true;
 }
 
-bool group_planner::FormGroup(const fabric_domain_id& fabric, const model_settings& model) {
+bool group_planner::FormGroup(const fabric_domain_id& fabric, const model_settings& model,
+                              join_cost most) {
   std::vector<backend_server_id>& free = free_[fabric];
   if (free.size() < model.group_size) return false;
   std::stable_sort(free.begin(), free.end(), [&](const auto& left, const auto& right) {
-    return JoinCost(directory_->Find(left)->server, model.name) <
-           JoinCost(directory_->Find(right)->server, model.name);
+    return CostOf(directory_->Find(left)->server, model.name) <
+           CostOf(directory_->Find(right)->server, model.name);
   });
+  const backend_server& last = directory_->Find(free[model.group_size - 1])->server;
+  if (CostOf(last, model.name) > most) return false;
   group_record group;
   const auto chosen_end = free.begin() + static_cast<std::ptrdiff_t>(model.group_size);
   group.members.assign(free.begin(), chosen_end);
@@ -573,13 +651,7 @@
     const auto other = std::find_if(models.begin(), models.end(),
                                     [&](const auto* model) { return model->name != server.model; });
     if (other == models.end() || HasStaged(server, (*other)->name)) continue;
-    auto& staging_until = servers_[id].staging_until;
-    if (staging_until && now_ < *staging_until) continue;
-    if (!TakeLoad(1)) return;
-    staging_until = now_ + options_.forming_limit;
-    group_record stage;
-    stage.model = (*other)->name;
-    Order(id, formation_action::kStage, stage);
+    IsStagedOrAsked(id, **other);
   }
 }
 
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -82,6 +82,26 @@
   }
 }
 
+TEST_CASE(
+    "load pattern: the model with the most work for each group gets a domain that cannot hold "
+    "both",
+    "[formation][load]") {
+  // Two domains lose members until they hold 8 servers: five of a broken large group are stranded
+  // beside a small one, while the large model has half of its groups.
+  formation_world world(TwoModels(), 2, 11, 8);
+  world.Run(seconds(60));
+  for (int lost = 0; lost < 3; ++lost) {
+    const auto members = world.MembersOfGroup("large");
+    REQUIRE(!members.empty());
+    world.KillForGood(members[1 + static_cast<std::size_t>(lost)]);
+    world.Run(seconds(8));
+  }
+  world.Run(seconds(40));
+  CHECK(world.ServingGroups()["large"] == 2);
+  CHECK(world.ServingGroups()["small"] >= 1);
+  CHECK(world.violations().empty());
+}
+
 TEST_CASE("a head that is cut off from the list alone is replaced after it has left",
           "[formation]") {
   formation_world world(TwoModels(), 1, 11, 5);
--- a/tests/unit/support/formation_world.cc
+++ b/tests/unit/support/formation_world.cc
@@ -77,6 +77,11 @@
   if (Happens(0.5)) server.restart_at = now_ + std::chrono::seconds(5);
 }
 
+void formation_world::KillForGood(const backend_server_id& id) {
+  Kill(id);
+  servers_[id].restart_at.reset();
+}
+
 void formation_world::Drain(const backend_server_id& id) {
   servers_[id].registration.draining = true;
   servers_[id].dirty = true;
--- a/tests/unit/support/formation_world.h
+++ b/tests/unit/support/formation_world.h
@@ -47,6 +47,8 @@
   void Run(duration time);
 
   void Kill(const backend_server_id& id);
+  /// As `Kill`, for a server that never starts again.
+  void KillForGood(const backend_server_id& id);
   /// Makes a server announce that it leaves.
   void Drain(const backend_server_id& id);
   void CutFromList(const backend_server_id& id, duration time);
