dispatch: find each group's capacity by the time to its first events

Cause: under load every VM sent up to a quarter of a group's slots; queues at the runners made all answers late, and requests were moved for it. Change: a window for each server and VM grows while answers begin within their objective and shrinks when they do not; a request waits up to 0.3 of its objective for a place and is refused after that. Ruled out: longer waits at the runner (they are what was seen before).

--- a/include/waxwingwing/dispatch/server_load.h
+++ b/include/waxwingwing/dispatch/server_load.h
@@ -14,10 +14,14 @@
 /// the earliest sign of a group that stands still.
 class server_load {
  public:
+  server_load();
+
   void RequestSent(time_point now);
   /// The first byte of an answer, or the first event of a stream.
-  /// `sent_at`: when the request was sent.
-  void AnswerBegun(time_point now, time_point sent_at);
+  /// `sent_at`: when the request was sent; `objective`: the time within which it should begin.
+  void AnswerBegun(time_point now, time_point sent_at, duration objective);
+  /// A request has waited past its objective, or the server had no room for one.
+  void Congested(time_point now);
   void EventArrived(time_point now);
   /// `begun`: whether the answer had begun.
   void RequestEnded(bool begun, bool failed, time_point now);
@@ -36,6 +40,9 @@
   duration typical_wait() const { return typical_wait_; }
   /// Smoothed time between two passes of a group; zero for servers without streams.
   duration typical_pause() const { return last_event_ ? typical_pause_ : duration::zero(); }
+  /// Requests that this VM may have at the server. Grows while answers begin in time and shrinks
+  /// when they do not, so that the VMs find a server's capacity without a message between them.
+  double window() const { return window_; }
   /// How long the server has been silent although a stream was running; zero when none is.
   duration SilenceOfStreams(time_point now) const;
   /// Longest silence that is usual while streams run.
@@ -50,6 +57,8 @@
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
   double failure_rate_ = 0;
+  double window_;
+  std::optional<time_point> shrunk_at_;
   duration typical_wait_{0};
   duration typical_pause_{std::chrono::milliseconds(60)};
   std::optional<time_point> last_event_;
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -29,8 +29,8 @@
 
 /// Bounds that the selection keeps.
 struct selection_options {
-  /// Requests of this VM at one server whose answer has not begun, per slot of the server.
-  double waiting_per_slot = 0.25;
+  /// Requests of this VM at one plain server whose answer has not begun, per slot of the server.
+  double waiting_per_slot = 0.5;
   /// Added to the load of servers in other failure domains, as requests per slot: latency and
   /// traffic between domains cost a little.
   double other_domain_load = 0.02;
--- a/include/waxwingwing/forward/forward_options.h
+++ b/include/waxwingwing/forward/forward_options.h
@@ -31,6 +31,9 @@
   milliseconds suspension{1000};
   /// How long a server that had no room gets nothing.
   milliseconds full_suspension{60};
+  /// Part of a route's objective for which a request waits for a place at a server: it still begins
+  /// in time after that.
+  double waiting_part = 0.3;
   /// Sends of one request, counting those that a server rejected.
   std::size_t max_sends = 4;
   /// Bytes that wait for one slow caller before the server's stream is read no further.
--- a/src/dispatch/server_load.cc
+++ b/src/dispatch/server_load.cc
@@ -14,20 +14,46 @@
 /// Silence of this many usual pauses counts as a stall.
 constexpr double kSilenceFactor = 2.5;
 
+/// First window: more than a VM needs at usual load (26 slots among nine VMs).
+constexpr double kFirstWindow = 6;
+constexpr double kMinWindow = 1;
+constexpr double kMaxWindow = 64;
+/// Growth for each answer that begins in time while the window is used.
+constexpr double kWindowGrowth = 0.25;
+/// Part that is left when answers begin late.
+constexpr double kWindowShrink = 0.8;
+/// The answers of one pass shrink the window once.
+constexpr milliseconds kShrinkInterval{120};
+/// Part of the objective within which an answer begins in time.
+constexpr double kTimelyPart = 0.8;
+
 duration Smooth(duration old, duration value) {
   return std::chrono::duration_cast<duration>(old * (1 - kSmoothing) + value * kSmoothing);
 }
 
 }  // namespace
 
+server_load::server_load() : window_(kFirstWindow) {}
+
+void server_load::Congested(time_point now) {
+  if (shrunk_at_ && now - *shrunk_at_ < kShrinkInterval) return;
+  shrunk_at_ = now;
+  window_ = std::max(kMinWindow, window_ * kWindowShrink);
+}
+
 void server_load::RequestSent(time_point /*now*/) {
   ++running_;
   ++waiting_;
 }
 
-void server_load::AnswerBegun(time_point now, time_point sent_at) {
+void server_load::AnswerBegun(time_point now, time_point sent_at, duration objective) {
   if (waiting_ > 0) --waiting_;
   const duration waited = now - sent_at;
+  if (waited > std::chrono::duration_cast<duration>(objective * kTimelyPart)) {
+    Congested(now);
+  } else if (running_ + 1 >= window_) {
+    window_ = std::min(kMaxWindow, window_ + kWindowGrowth);
+  }
   newest_begun_ = std::max(newest_begun_.value_or(sent_at), sent_at);
   typical_wait_ = typical_wait_ == duration::zero() ? waited : Smooth(typical_wait_, waited);
   if (!streams_since_) streams_since_ = now;
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -64,8 +64,11 @@
 }
 
 bool server_selection::IsFull(const dispatch_candidate& candidate, const server_load& load) const {
-  const double limit = options_.waiting_per_slot * static_cast<double>(candidate.slots);
-  return static_cast<double>(load.waiting()) >= std::max(2.0, limit);
+  if (candidate.group.empty()) {
+    const double limit = options_.waiting_per_slot * static_cast<double>(candidate.slots);
+    return static_cast<double>(load.waiting()) >= std::max(2.0, limit);
+  }
+  return static_cast<double>(load.running()) >= load.window();
 }
 
 bool server_selection::IsWithinColdRate(const dispatch_candidate& candidate, time_point now) {
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -2,8 +2,8 @@
 
 #include <utility>
 
-#include "entry/pause.h"
 #include "platform/record_decoder.h"
+#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "entry/pause.h"
+#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -6,8 +6,8 @@
 
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
-#include "entry/pause.h"
 #include "platform/store_client.h"
+#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -17,7 +17,6 @@
 #include "entry/controller_election.h"
 #include "entry/directory_controller.h"
 #include "entry/formation_controller.h"
-#include "entry/pause.h"
 #include "entry/ready_server.h"
 #include "entry/stall_notices.h"
 #include "platform/header_codec.h"
@@ -26,6 +25,7 @@
 #include "waxwingwing/core/random_source.h"
 #include "waxwingwing/forward/forwarder.h"
 #include "waxwingwing/platform/http_client.h"
+#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
--- a/src/entry/stall_notices.cc
+++ b/src/entry/stall_notices.cc
@@ -4,7 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <utility>
 
-#include "entry/pause.h"
+#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
--- a/src/entry/pause.h
+++ b/src/entry/wakeable_pause.h
@@ -1,20 +1,9 @@
 #pragma once
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
-
-#include "waxwingwing/core/clock.h"
-#include "waxwingwing/platform/coroutine.h"
+#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 
-/// Suspends the coroutine for `time`.
-inline awaitable<void> Pause(asio::io_context& context, duration time) {
-  asio::steady_timer timer(context, time);
-  error_code ignored;
-  co_await timer.async_wait(StoreError(ignored));
-}
-
 /// Suspends a coroutine for a time or until it is woken.
 class wakeable_pause {
  public:
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -8,6 +8,7 @@
 #include "forward/http_text.h"
 #include "waxwingwing/core/hash.h"
 #include "waxwingwing/core/scope_guard.h"
+#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
@@ -136,7 +137,14 @@
   core_.retries.RecordRequest();
   for (;;) {
     const dispatch_candidate* selected = SelectServer();
-    if (selected == nullptr) co_return;
+    while (selected == nullptr && MayWait()) {
+      co_await Pause(core_.context, core_.options.tick);
+      selected = SelectServer();
+    }
+    if (selected == nullptr) {
+      EndUnselected();
+      co_return;
+    }
     server_ = *selected;
     tried_.insert(server_.server);
     ++sends_;
@@ -150,21 +158,29 @@
 }
 
 const dispatch_candidate* forward_call::SelectServer() {
-  const time_point now = core_.Now();
+  if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return nullptr;
+  const auto& candidates = core_.map->Candidates(service_, facts_.model);
+  return core_.selection.Select(candidates, tried_, core_.Now(), selection_failure_);
+}
+
+bool forward_call::MayWait() const {
+  // A place that becomes free soon still gives an answer in time.
+  if (sends_ > 0 || selection_failure_ != selection_failure::kAllFull) return false;
+  if (caller_left_ || channel_.gone()) return false;
+  const auto limit =
+      std::chrono::duration_cast<duration>(route_->objective * core_.options.waiting_part);
+  return core_.Now() - arrived_at_ < limit;
+}
+
+void forward_call::EndUnselected() {
   if (caller_left_ || channel_.gone()) {
     LogEnd("caller_left", 0, last_failure_);
     keeps_connection_ = false;
-    return nullptr;
-  }
-  if (TimeLeft(now) < kMinTimeLeft) {
+  } else if (TimeLeft(core_.Now()) < kMinTimeLeft) {
     GiveUp(504, "deadline");
-    return nullptr;
+  } else {
+    GiveUp(502, NameOf(selection_failure_));
   }
-  const auto& candidates = core_.map->Candidates(service_, facts_.model);
-  const dispatch_candidate* selected =
-      core_.selection.Select(candidates, tried_, now, selection_failure_);
-  if (selected == nullptr) GiveUp(502, NameOf(selection_failure_));
-  return selected;
 }
 
 exchange_plan forward_call::PlanExchange(const dispatch_candidate& server) const {
@@ -176,6 +192,7 @@
   plan.stream = route_->repeat == repeat_rule::kStream;
   plan.last_event = last_event_;
   plan.deadline = deadline_;
+  plan.objective = route_->objective;
   plan.first_limit =
       plan.stream
           ? duration(core_.options.first_event_limit)
@@ -269,6 +286,7 @@
   core_.selection.LoadOf(server.server)
       .Suspend(now + (misplaced ? core_.options.suspension : core_.options.full_suspension));
   if (broken_group) core_.ReportStall(server, "server_blames_member", duration::zero());
+  if (!misplaced) core_.selection.LoadOf(server.server).Congested(now);
   const char* reason = misplaced ? "wrong_server" : "server_full";
   core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
   if (MayTryAgain(false) && core_.retries.TryTake()) return false;
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -55,6 +55,10 @@
 
   awaitable<void> Forward();
   const dispatch_candidate* SelectServer();
+  /// Whether it is worth waiting for a place at a server.
+  bool MayWait() const;
+  /// Ends a request for which no server was selected.
+  void EndUnselected();
   exchange_plan PlanExchange(const dispatch_candidate& server) const;
   /// What follows an exchange; false when another server is to be tried.
   bool Conclude(server_exchange& exchange, exchange_end end);
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -208,7 +208,7 @@
 void server_exchange::AnswerBegun() {
   begun_ = true;
   const time_point now = core_.Now();
-  core_.selection.LoadOf(plan_.target.server).AnswerBegun(now, started_at_);
+  core_.selection.LoadOf(plan_.target.server).AnswerBegun(now, started_at_, plan_.objective);
 }
 
 void server_exchange::Finish() {
@@ -225,6 +225,10 @@
     return;
   }
   server_load& load = core_.selection.LoadOf(plan_.target.server);
+  if (!begun_ && !congestion_noted_ && now - *sent_at_ > plan_.objective) {
+    congestion_noted_ = true;
+    load.Congested(now);
+  }
   if (!begun_ && now - *sent_at_ > plan_.first_limit && IsStuck(now, load) && receiver_.CanMove()) {
     return Cut(exchange_cut::kFirstLimit);
   }
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -32,6 +32,8 @@
   bool stream = false;
   /// The last event that the caller has.
   std::optional<std::uint64_t> last_event;
+  /// Time within which the answer should begin.
+  duration objective{};
   /// Longest wait for the answer to begin.
   duration first_limit{};
   time_point deadline{};
@@ -118,6 +120,7 @@
   bool pass_events_ = false;
   bool begun_ = false;
   bool stall_reported_ = false;
+  bool congestion_noted_ = false;
   std::uint64_t events_passed_ = 0;
   exchange_cut cut_ = exchange_cut::kNone;
 };
