formation: form groups that need no loading first, load only for a lasting shortage

Cause: when heads were cut off from the list, large groups were formed with servers that were loaded with the small model, which then lacked its own; a load takes 12 to 16 s, a cut 5 to 9 s. Change: groups are formed by what joining costs, cheapest first, whatever the model; loading from the store waits until the shortage has lasted 2.5 s, and is given up when servers return that need none. Two types of the adapter get names of their own: platform/order_client.h and platform/engine_client.h both had order_answer with different members, which the linker merged. Conditional expressions are taken out of awaiting expressions (g++ 12 miscompiles some). Ruled out for now: entry VMs that read from two of them instead of from the store.

--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -60,6 +60,9 @@
   milliseconds unknown_head_time{13000};
   /// How long servers that just registered may wait for the rest of their fabric domain.
   milliseconds settle_time{400};
+  /// How long a group is missed before servers load weights for it: the registration of a server
+  /// that died lapses after 3.6 s, and cuts of 5 s are common.
+  milliseconds load_patience{2500};
   /// A group of one model is given up for another one only when the other model has this many times
   /// as much work for each group: loading takes 16 s.
   double conversion_gain = 1.5;
@@ -174,6 +177,10 @@
   bool AnswersSince(const group_record& group, time_point since);
   void Probe(const backend_server_id& id);
   void FormMissing();
+  void FormInDomain(const fabric_domain_id& fabric, const group_counts& targets,
+                    group_counts& present, bool settled);
+  /// Whether free servers that need no loading could replace the members that still load.
+  bool HasBetterMembers(const group_record& group) const;
   /// Forms a group of free servers none of which costs more than `most`.
   bool FormGroup(const fabric_domain_id& fabric, const model_settings& model, join_cost most);
   /// Gives up a group of another model for one of `model`, which the domain lacks servers for.
@@ -205,6 +212,8 @@
   /// Groups whose members were set free, and when.
   std::map<server_group_id, time_point> finished_;
   std::deque<time_point> loads_;
+  /// Since when a fabric domain lacks a group.
+  std::map<fabric_domain_id, time_point> missing_since_;
   std::uint64_t highest_epoch_ = 0;
   bool busy_ = false;
   bool loads_limited_ = true;
@@ -216,6 +225,8 @@
   time_point now_{};
   std::vector<formation_order> orders_;
   std::set<backend_server_id> taken_;
+  /// Members of groups in the round before.
+  std::set<backend_server_id> taken_before_;
   std::map<fabric_domain_id, std::vector<backend_server_id>> free_;
 };
 
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -24,7 +24,12 @@
 
 awaitable<void> configuration_controller::Run() {
   while (!entry_.state.stopping || entry_.state.configuration) {
-    const bool read = offset_ ? co_await ReadOn() : co_await ReadAll();
+    bool read = false;
+    if (offset_) {
+      read = co_await ReadOn();
+    } else {
+      read = co_await ReadAll();
+    }
     if (!read) co_await Pause(entry_.context, kRetryPause);
   }
 }
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -29,8 +29,14 @@
 
 awaitable<void> directory_controller::Run() {
   for (;;) {
-    const bool read = offset_ ? co_await ReadOn() : co_await ReadAll();
-    co_await Pause(entry_.context, read ? kReadInterval : kRetryPause);
+    bool read = false;
+    if (offset_) {
+      read = co_await ReadOn();
+    } else {
+      read = co_await ReadAll();
+    }
+    const milliseconds pause = read ? kReadInterval : kRetryPause;
+    co_await Pause(entry_.context, pause);
   }
 }
 
--- a/src/entry/formation_controller.cc
+++ b/src/entry/formation_controller.cc
@@ -30,7 +30,8 @@
 awaitable<void> formation_controller::Run() {
   while (!entry_.state.stopping) {
     Plan();
-    co_await pause_.Wait(busy_ ? kBusyInterval : kUsualInterval);
+    const milliseconds pause = busy_ ? kBusyInterval : kUsualInterval;
+    co_await pause_.Wait(pause);
   }
 }
 
@@ -78,10 +79,11 @@
 
 awaitable<void> formation_controller::Carry(service_id service, formation_order order) {
   const bool probe = order.action == formation_action::kProbe;
+  const milliseconds limit = probe ? kProbeLimit : kOrderLimit;
   const time_point sent_at = entry_.clock.Now();
   // The planner's decision is worth nothing once this VM is no longer the controller.
   if (!probe && !election_.IsController()) co_return;
-  const order_answer answer = co_await orders_.Send(order, probe ? kProbeLimit : kOrderLimit);
+  const order_reply answer = co_await orders_.Send(order, limit);
   const time_point now = entry_.clock.Now();
   entry_.metrics
       .Counter("waxwingwing_orders_total",
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -29,6 +29,8 @@
   servers_.clear();
   finished_.clear();
   loads_.clear();
+  missing_since_.clear();
+  taken_.clear();
   highest_epoch_ = std::max(highest_epoch_, epoch_floor);
 }
 
@@ -112,6 +114,7 @@
 }
 
 void group_planner::ObserveServers() {
+  taken_before_ = std::move(taken_);
   taken_.clear();
   for (const auto& [id, known] : directory_->entries()) {
     if (known.server.service != service_->id) continue;
@@ -245,7 +248,12 @@
     group.may_be_open = true;
     Order(group.members.front(), formation_action::kOpen, group);
   }
-  if (now_ - group.phase_since > options_.forming_limit) StartReleasing(group);
+  // A load that is still long under way is given up for servers that need none.
+  const bool loads_long = now_ - group.phase_since > options_.join_limit && !all_ready;
+  if (now_ - group.phase_since > options_.forming_limit ||
+      (loads_long && HasBetterMembers(group))) {
+    StartReleasing(group);
+  }
 }
 
 bool group_planner::IsDoubted(const group_record& group) const {
@@ -487,14 +495,51 @@
     // does not wait for better members.
     const bool settled = now_ - newest[fabric] > options_.settle_time;
     if (!settled) busy_ = true;
-    for (const model_settings* model : MissingModels(counts, present[fabric])) {
-      if (FormGroup(fabric, *model, settled ? join_cost::kFromStore : join_cost::kNone)) continue;
-      if (settled) ConvertGroup(fabric, *model, counts, present[fabric]);
-    }
+    FormInDomain(fabric, counts, present[fabric], settled);
     if (settled) KeepSpares(fabric);
   }
 }
 
+void group_planner::FormInDomain(const fabric_domain_id& fabric, const group_counts& targets,
+                                 group_counts& present, bool settled) {
+  if (MissingModels(targets, present).empty()) {
+    missing_since_.erase(fabric);
+    return;
+  }
+  const time_point since = missing_since_.try_emplace(fabric, now_).first->second;
+  // Loading from the store takes long and costs a server that is loaded with another model; members
+  // that are only cut off may return before it is done.
+  const bool lasting = !loads_limited_ || now_ - since > options_.load_patience;
+  for (const join_cost most : {join_cost::kNone, join_cost::kFromHost, join_cost::kFromStore}) {
+    if (most != join_cost::kNone && !settled) return;
+    if (most == join_cost::kFromStore && !lasting) return;
+    for (const model_settings* model : MissingModels(targets, present)) {
+      if (FormGroup(fabric, *model, most)) ++present[model->name];
+    }
+  }
+  for (const model_settings* model : MissingModels(targets, present)) {
+    ConvertGroup(fabric, *model, targets, present);
+  }
+}
+
+bool group_planner::HasBetterMembers(const group_record& group) const {
+  std::size_t loading = 0;
+  for (const backend_server_id& member : group.members) {
+    const auto* known = directory_->Find(member);
+    const bool joining = known != nullptr && known->server.membership &&
+                         known->server.membership->state == membership_state::kJoining;
+    loading += joining ? 1 : 0;
+  }
+  const auto* head = directory_->Find(group.members.front());
+  const auto& entries = directory_->entries();
+  const auto better = std::count_if(entries.begin(), entries.end(), [&](const auto& item) {
+    const backend_server& server = item.second.server;
+    return head != nullptr && server.fabric == head->server.fabric && server.model == group.model &&
+           !taken_before_.contains(item.first) && IsUsable(item.first);
+  });
+  return loading > 0 && static_cast<std::size_t>(better) >= loading;
+}
+
 std::vector<const model_settings*> group_planner::MissingModels(const group_counts& targets,
                                                                 const group_counts& present) const {
   std::vector<const model_settings*> missing;
