--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -51,8 +51,8 @@
   milliseconds doubt_time{1500};
   /// A head is taken for dead when it is not registered and does not answer this many probes in
   /// this time, while other members of its group answer.
-  std::uint32_t dead_head_probes = 3;
-  milliseconds dead_head_time{600};
+  std::uint32_t dead_head_probes = 6;
+  milliseconds dead_head_time{1200};
   /// Servers that were cut off together register again within this time of each other.
   milliseconds return_time{3000};
   /// After this time a head that this VM has never seen counts as dead; cuts of single servers last
--- a/tests/unit/support/formation_world.cc
+++ b/tests/unit/support/formation_world.cc
@@ -258,6 +258,7 @@
       return order_outcome::kAccepted;
     case formation_action::kStage:
       server.registration.staged = {order.model};
+      server.dirty = true;
       return order_outcome::kAccepted;
     case formation_action::kJoin:
       return Join(server, order);
