entry: notice a silent connection to the store within the time that leaving servers allow

Change: reads wait 0.9 s, so that silence is noticed after 1.4 s; the gap after which removals are held back follows.

--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -8,15 +8,16 @@
 namespace waxwingwing {
 namespace {
 
-/// Longest wait of one read; the store answers as soon as a registration changes.
-constexpr milliseconds kReadWait{4000};
+/// Longest wait of one read; the store answers as soon as a registration changes. A connection that
+/// fell silent is noticed half a second after it, and a server that leaves may get requests for 2 s.
+constexpr milliseconds kReadWait{900};
 /// Least time between reads: many servers register at once, and groups change together.
 constexpr milliseconds kReadInterval{150};
 constexpr milliseconds kRetryPause{200};
 /// After the store was away, servers that live are registered again within this time.
 constexpr milliseconds kReturnTime{2500};
 /// A gap in the reads after which removals may stem from an outage of the store.
-constexpr milliseconds kOutageGap{6000};
+constexpr milliseconds kOutageGap{3000};
 
 }  // namespace
 
