--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -9,7 +9,8 @@
 namespace {
 
 /// Longest wait of one read; the store answers as soon as a registration changes. A connection that
-/// fell silent is noticed half a second after it, and a server that leaves may get requests for 2 s.
+/// fell silent is noticed half a second after it, and a server that leaves may get requests for 2
+/// s.
 constexpr milliseconds kReadWait{900};
 /// Least time between reads: many servers register at once, and groups change together.
 constexpr milliseconds kReadInterval{150};
