entry, forward, dispatch, formation: remove what nothing reads

Found on reading the change once more: a counter of configuration changes, one of connections, one of events, the time of a server's last order and dispatch_map::HasModels were written or offered and never read. Behaviour is the same.

--- a/include/waxwingwing/dispatch/dispatch_map.h
+++ b/include/waxwingwing/dispatch/dispatch_map.h
@@ -38,8 +38,6 @@
                                                     const std::string& model) const;
   /// Number of candidates of each service and model, as text for log lines.
   std::string Describe() const;
-  /// Whether requests to the service name a model.
-  bool HasModels(const service_id& service) const { return with_models_.contains(service); }
 
  private:
   void AddPlainServer(const server_directory::entry& known);
--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -123,7 +123,6 @@
   };
 
   struct server_record {
-    std::optional<time_point> order_sent_at;
     /// The last order, whether its answer is awaited, and the earliest time to repeat it.
     formation_action last_action = formation_action::kProbe;
     server_group_id last_group;
--- a/include/waxwingwing/forward/forwarder.h
+++ b/include/waxwingwing/forward/forwarder.h
@@ -72,7 +72,6 @@
   void StopAccepting();
   std::size_t RunningCalls() const;
   std::size_t Connections() const;
-  std::uint64_t CallsSeen() const;
 
  private:
   class implementation;
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -106,7 +106,6 @@
   entry_.metrics.Gauge("waxwingwing_configuration_version")
       .Set(static_cast<std::int64_t>((*decoded)->version));
   entry_.state.configuration = *decoded;
-  ++entry_.state.configuration_changes;
   on_change_();
 }
 
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -22,7 +22,6 @@
   std::optional<time_point> configuration_confirmed_at;
   server_directory directory;
   std::optional<time_point> directory_confirmed_at;
-  std::uint64_t configuration_changes = 0;
   bool stopping = false;
 };
 
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -443,7 +443,6 @@
 void group_planner::Order(const backend_server_id& target, formation_action action,
                           const group_record& group) {
   server_record& server = servers_[target];
-  server.order_sent_at = now_;
   server.repeat_after = now_ + options_.order_retry;
   server.order_pending = true;
   server.last_action = action;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -95,7 +95,6 @@
   forward_core& core() { return core_; }
   const forward_core& core() const { return core_; }
   std::size_t connections() const { return sessions_.size(); }
-  std::uint64_t calls_seen() const { return connections_accepted_; }
 
  private:
   std::vector<call_session*> Sessions() const { return {sessions_.begin(), sessions_.end()}; }
@@ -108,7 +107,6 @@
       co_await acceptor_.async_accept(socket, StoreError(error));
       if (!error) {
         if (sessions_.size() >= core_.options.max_callers) continue;
-        ++connections_accepted_;
         asio::co_spawn(core_.context, Serve(std::move(socket)), asio::detached);
         StartTicking();
         continue;
@@ -167,7 +165,6 @@
   asio::steady_timer ticker_;
   asio::steady_timer sweeper_;
   std::set<call_session*> sessions_;
-  std::uint64_t connections_accepted_ = 0;
   bool ticking_ = false;
 };
 
@@ -196,6 +193,4 @@
 
 std::size_t forwarder::Connections() const { return implementation_->connections(); }
 
-std::uint64_t forwarder::CallsSeen() const { return implementation_->calls_seen(); }
-
 }  // namespace waxwingwing
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -196,7 +196,6 @@
   if (!events.empty()) {
     if (!begun_) AnswerBegun();
     core_.selection.LoadOf(plan_.target.server).EventArrived(core_.Now());
-    ++events_passed_;
     receiver_.OnEvents(answer_, events);
   }
   if (verdict == event_splitter::verdict::kOk) return true;
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -84,7 +84,6 @@
   server_answer& answer() { return answer_; }
   exchange_cut cut() const { return cut_; }
   const std::string& failure() const { return failure_; }
-  std::uint64_t events_passed() const { return events_passed_; }
   bool begun() const { return begun_; }
   /// Whether the answer is a stream whose events were passed on.
   bool passes_events() const { return pass_events_; }
@@ -121,7 +120,6 @@
   bool begun_ = false;
   bool stall_reported_ = false;
   bool congestion_noted_ = false;
-  std::uint64_t events_passed_ = 0;
   exchange_cut cut_ = exchange_cut::kNone;
 };
 
