entry, dispatch: divide shared limits by the store's parts, read registrations when needed

The retry budget assumed nine VMs and was shared by all services.

Change: the work is divided by the partitions of enough topics for 390 VMs, each with one holder; cold servers get requests only from the holders of a few parts, and retries have one budget for each service, by the VM's part. Registrations are read every 0.4 of the time in which a server may leave, and often only by the controller and after a surprise. A long read of the operators' records confirms up to the end of its wait.

--- a/include/waxwingwing/dispatch/dispatch_map.h
+++ b/include/waxwingwing/dispatch/dispatch_map.h
@@ -40,7 +40,8 @@
   std::string Describe() const;
 
  private:
-  void AddPlainServer(const server_directory::entry& known);
+  void AddPlainServer(const server_directory::entry& known,
+                      const traffic_configuration& configuration);
   void AddGroup(const group_view& group, const server_directory& directory,
                 const traffic_configuration& configuration);
 
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -9,6 +9,7 @@
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/random_source.h"
+#include "waxwingwing/dispatch/cold_limits.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_load.h"
 
@@ -41,8 +42,8 @@
  public:
   server_selection(selection_options options, failure_domain_id own_domain, random_source random);
 
-  /// Number of VMs that share the limits of cold servers.
-  void SetVmCount(std::size_t count) { vm_count_ = count; }
+  /// This VM's parts of the limits that all VMs share.
+  void SetParts(const work_parts& parts) { cold_.SetParts(parts); }
 
   /// A candidate that is not in `excluded`; null with the reason in `failure` when there is none.
   const dispatch_candidate* Select(const std::vector<dispatch_candidate>& candidates,
@@ -57,11 +58,6 @@
   void Prune(const std::function<bool(const backend_server_id&)>& is_known);
 
  private:
-  struct cold_bucket {
-    double tokens = 1;
-    time_point refilled_at{};
-  };
-
   bool IsWithinColdRate(const dispatch_candidate& candidate, time_point now);
   bool IsFull(const dispatch_candidate& candidate, const server_load& load) const;
   double ScoreOf(const dispatch_candidate& candidate, const server_load& load);
@@ -69,9 +65,8 @@
   const selection_options options_;
   const failure_domain_id own_domain_;
   random_source random_;
-  std::size_t vm_count_ = 1;
   std::map<backend_server_id, server_load> loads_;
-  std::map<backend_server_id, cold_bucket> cold_;
+  cold_limits cold_;
 };
 
 }  // namespace waxwingwing
--- a/include/waxwingwing/forward/forwarder.h
+++ b/include/waxwingwing/forward/forwarder.h
@@ -15,7 +15,7 @@
 #include "waxwingwing/logging/event_log.h"
 #include "waxwingwing/metrics/metrics_registry.h"
 #include "waxwingwing/platform/coroutine.h"
-#include "waxwingwing/routing/retry_budget.h"
+#include "waxwingwing/routing/service_retries.h"
 
 namespace boost::asio {
 class io_context;
@@ -32,6 +32,8 @@
   virtual bool AreKeysCurrent() const = 0;
   /// The streams of a group stand still.
   virtual void OnStall(const server_group_id& group, const backend_server_id& head) = 0;
+  /// A request met a server that is not what the directory says, or none at all.
+  virtual void OnSurprise() = 0;
   /// Age of the configuration's last confirmation and of the list of servers, for log lines.
   virtual duration ConfigurationAge() const = 0;
   virtual duration DirectoryAge() const = 0;
@@ -43,7 +45,7 @@
   const runtime_clock& clock;
   const call_codec& codec;
   server_selection& selection;
-  retry_budget& retries;
+  service_retries& retries;
   event_log& log;
   metrics_registry& metrics;
   forward_hooks& hooks;
--- a/include/waxwingwing/routing/retry_budget.h
+++ b/include/waxwingwing/routing/retry_budget.h
@@ -13,12 +13,14 @@
   retry_budget(double fraction, double burst);
 
   void RecordRequest();
+  /// Changes the most that can be saved up; what is saved beyond it is lost.
+  void SetBurst(double burst);
   /// Takes one retry from the budget; false when it is used up.
   bool TryTake();
 
  private:
   const double fraction_;
-  const double burst_;
+  double burst_;
   std::mutex mutex_;
   double balance_;
 };
--- a/src/dispatch/dispatch_map.cc
+++ b/src/dispatch/dispatch_map.cc
@@ -28,13 +28,17 @@
   }
   for (const auto& [id, known] : directory.entries()) {
     if (with_models_.contains(known.server.service)) continue;
-    if (MayTakeRequests(known, directory)) AddPlainServer(known);
+    if (MayTakeRequests(known, directory)) AddPlainServer(known, configuration);
   }
   for (const auto& [id, group] : directory.Groups()) AddGroup(group, directory, configuration);
 }
 
-void dispatch_map::AddPlainServer(const server_directory::entry& known) {
-  candidates_[{known.server.service, std::string()}].push_back(CandidateOf(known));
+void dispatch_map::AddPlainServer(const server_directory::entry& known,
+                                  const traffic_configuration& configuration) {
+  dispatch_candidate candidate = CandidateOf(known);
+  const service_settings* service = configuration.ServiceById(known.server.service);
+  if (service != nullptr) candidate.cold_rate = service->cold_rate;
+  candidates_[{known.server.service, std::string()}].push_back(std::move(candidate));
 }
 
 void dispatch_map::AddGroup(const group_view& group, const server_directory& directory,
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -49,7 +49,7 @@
   }
   if (best == nullptr) return nullptr;
   failure = selection_failure::kNone;
-  if (best->cold_rate > 0 && now < best->cold_until) cold_[best->server].tokens -= 1;
+  if (best->cold_rate > 0 && now < best->cold_until) cold_.Take(best->server);
   return best;
 }
 
@@ -73,14 +73,7 @@
 
 bool server_selection::IsWithinColdRate(const dispatch_candidate& candidate, time_point now) {
   if (candidate.cold_rate <= 0 || now >= candidate.cold_until) return true;
-  cold_bucket& bucket = cold_[candidate.server];
-  // Each VM takes its part of the rate, so that the sum of all keeps it without a message.
-  const double rate =
-      candidate.cold_rate / static_cast<double>(std::max<std::size_t>(vm_count_, 1));
-  const double elapsed = std::chrono::duration<double>(now - bucket.refilled_at).count();
-  bucket.tokens = std::min(1.0, bucket.tokens + std::max(0.0, elapsed) * rate);
-  bucket.refilled_at = now;
-  return bucket.tokens >= 1;
+  return cold_.MayTake(candidate.server, candidate.cold_rate, now);
 }
 
 double server_selection::ScoreOf(const dispatch_candidate& candidate, const server_load& load) {
@@ -96,7 +89,7 @@
   std::erase_if(loads_, [&](const auto& item) {
     return item.second.running() == 0 && !is_known(item.first);
   });
-  std::erase_if(cold_, [&](const auto& item) { return !is_known(item.first); });
+  cold_.Prune(is_known);
 }
 
 }  // namespace waxwingwing
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -9,8 +9,9 @@
 namespace {
 
 /// Longest wait of one read. Each answer confirms that the configuration is current; keys are
-/// trusted for 4 s without one.
-constexpr milliseconds kReadWait{1400};
+/// trusted for 4 s without one, and a connection that fell silent is noticed half a second after
+/// the wait.
+constexpr milliseconds kReadWait{2200};
 constexpr milliseconds kRetryPause{150};
 
 }  // namespace
@@ -65,7 +66,9 @@
   }
   Apply(*page, false);
   offset_ = page->next;
-  entry_.state.configuration_confirmed_at = sent_at;
+  // The store answers with no record only after the wait, and had none until then.
+  const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= kReadWait;
+  entry_.state.configuration_confirmed_at = waited ? sent_at + kReadWait : sent_at;
   co_return true;
 }
 
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -20,8 +20,12 @@
 }  // namespace
 
 controller_election::controller_election(entry_context& entry, store_client& store,
-                                         std::string member)
-    : entry_(entry), store_(store), member_(std::move(member)), health_(entry, "membership") {}
+                                         std::string member, std::function<void()> on_answer)
+    : entry_(entry),
+      store_(store),
+      member_(std::move(member)),
+      on_answer_(std::move(on_answer)),
+      health_(entry, "membership") {}
 
 awaitable<void> controller_election::Run() {
   while (!entry_.state.stopping) {
@@ -32,18 +36,18 @@
     if (view) {
       health_.Succeeded();
       Apply(*view, sent_at);
-      co_await Pause(entry_.context, kRenewInterval);
     } else {
       health_.Failed(view.reason());
-      co_await Pause(entry_.context, kRetryPause);
     }
+    on_answer_();
+    co_await Pause(entry_.context, view ? kRenewInterval : kRetryPause);
   }
 }
 
 void controller_election::Apply(const member_view& view, time_point sent_at) {
   generation_ = view.generation;
-  const std::size_t held = std::max<std::size_t>(view.parts.size(), 1);
-  vm_count_ = (entry_.settings.partitions + held - 1) / held;
+  parts_ = view.parts;
+  parts_confirmed_at_ = sent_at;
   if (!view.HoldsController()) {
     if (held_since_) entry_.log.Write("controller_lost", {{"generation", generation_}});
     held_since_.reset();
@@ -59,6 +63,12 @@
   trusted_until_ = sent_at + kTrustTime;
 }
 
+work_parts controller_election::ConfirmedParts() const {
+  const bool lapsed =
+      !parts_confirmed_at_ || entry_.clock.Now() - *parts_confirmed_at_ > kMemberLifetime;
+  return {lapsed ? std::set<std::size_t>() : parts_.held, parts_.all};
+}
+
 bool controller_election::IsController() const {
   const time_point now = entry_.clock.Now();
   if (!held_since_ || !trusted_until_ || now > *trusted_until_) return false;
--- a/src/entry/controller_election.h
+++ b/src/entry/controller_election.h
@@ -18,7 +18,9 @@
 /// out of date before it acts.
 class controller_election {
  public:
-  controller_election(entry_context& entry, store_client& store, std::string member);
+  /// `on_answer` is called after each call to the store, answered or not.
+  controller_election(entry_context& entry, store_client& store, std::string member,
+                      std::function<void()> on_answer);
 
   awaitable<void> Run();
   awaitable<void> Leave();
@@ -27,8 +29,12 @@
   bool IsController() const;
   /// Rises with each change of the members; separates the terms of controllers.
   std::uint64_t generation() const { return generation_; }
-  /// Estimate of the number of entry VMs.
-  std::size_t vm_count() const { return vm_count_; }
+  /// Whether the store has given the controller's part to this VM, also before it may act.
+  bool HoldsController() const { return held_since_.has_value(); }
+  /// The parts of the work that this VM held when the store last said so.
+  const work_parts& parts() const { return parts_; }
+  /// The same, and none when others may hold them by now.
+  work_parts ConfirmedParts() const;
 
  private:
   void Apply(const member_view& view, time_point sent_at);
@@ -36,9 +42,11 @@
   entry_context& entry_;
   store_client& store_;
   const std::string member_;
+  const std::function<void()> on_answer_;
   dependency_health health_;
   std::uint64_t generation_ = 0;
-  std::size_t vm_count_ = 1;
+  work_parts parts_;
+  std::optional<time_point> parts_confirmed_at_;
   std::optional<time_point> held_since_;
   std::optional<time_point> trusted_until_;
 };
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -1,5 +1,6 @@
 #include "entry/directory_controller.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -8,13 +9,11 @@
 namespace waxwingwing {
 namespace {
 
-/// Longest wait of one read; the store answers as soon as a registration changes. A connection that
-/// fell silent is noticed half a second after it, and a server that leaves may get requests for 2
-/// s.
-constexpr milliseconds kReadWait{900};
-/// Least time between reads: many servers register at once, and groups change together.
-constexpr milliseconds kReadInterval{150};
+/// Longest wait of one read. Registrations change several times a second, so that it matters only
+/// when the store gets none; it must leave time for a second read, see `read_pace`.
+constexpr milliseconds kReadWait{300};
 constexpr milliseconds kRetryPause{200};
+constexpr milliseconds kRemovalCheck{300};
 /// After the store was away, servers that live are registered again within this time.
 constexpr milliseconds kReturnTime{2500};
 /// A gap in the reads after which removals may stem from an outage of the store.
@@ -23,10 +22,14 @@
 }  // namespace
 
 directory_controller::directory_controller(entry_context& entry, store_client& store,
+                                           std::function<bool()> orders_servers,
                                            std::function<void()> on_change)
     : entry_(entry),
       store_(store),
+      orders_servers_(std::move(orders_servers)),
       on_change_(std::move(on_change)),
+      pace_(entry.settings.leaving_limit),
+      pause_(entry.context),
       health_(entry, "server_registrations") {}
 
 awaitable<void> directory_controller::Run() {
@@ -37,11 +40,21 @@
     } else {
       read = co_await ReadAll();
     }
-    const milliseconds pause = read ? kReadInterval : kRetryPause;
-    co_await Pause(entry_.context, pause);
+    milliseconds pause = kRetryPause;
+    if (read) pause = pace_.Interval(orders_servers_(), entry_.clock.Now());
+    // Removals that are held back must not wait for the next read.
+    if (entry_.state.directory.HasPendingRemovals()) pause = std::min(pause, kRemovalCheck);
+    co_await pause_.Wait(pause);
   }
 }
 
+void directory_controller::OnSurprise() {
+  const time_point now = entry_.clock.Now();
+  const milliseconds before = pace_.Interval(orders_servers_(), now);
+  pace_.Surprised(now);
+  if (pace_.Interval(orders_servers_(), now) < before) pause_.Wake();
+}
+
 duration directory_controller::RemovalDelay(time_point now) const {
   const auto& confirmed = entry_.state.directory_confirmed_at;
   const bool was_away = confirmed && now - *confirmed > kOutageGap;
@@ -49,11 +62,6 @@
   return health_.is_lost() || was_away || just_back ? duration(kReturnTime) : duration::zero();
 }
 
-milliseconds directory_controller::ReadWait() const {
-  // Removals that are held back must not wait for the next change.
-  return entry_.state.directory.HasPendingRemovals() ? milliseconds(300) : kReadWait;
-}
-
 awaitable<bool> directory_controller::ReadAll() {
   const time_point sent_at = entry_.clock.Now();
   const auto page = co_await store_.ReadNewest(store_stream::kServers);
@@ -77,7 +85,7 @@
 
 awaitable<bool> directory_controller::ReadOn() {
   const time_point sent_at = entry_.clock.Now();
-  const auto page = co_await store_.ReadFrom(store_stream::kServers, *offset_, ReadWait());
+  const auto page = co_await store_.ReadFrom(store_stream::kServers, *offset_, kReadWait);
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -46,13 +46,6 @@
 /// Time before the limit at which keys stop being accepted: a read may be answered late.
 constexpr milliseconds kRevokeMargin{900};
 
-double RetryBurst(const entry_settings& settings, std::size_t vm_count) {
-  return std::max(4.0, settings.retry_slack * kRetryShare / static_cast<double>(vm_count));
-}
-
-/// Number of entry VMs assumed for the retry budget; deployments of today have 8 or 9.
-constexpr std::size_t kUsualVmCount = 9;
-
 /// The processes' parts and how they are connected.
 class entry_daemon final : public forward_hooks {
  public:
@@ -62,14 +55,17 @@
         entry_{context_, clock_, settings_, state_, log_, metrics_},
         random_(random_source::FromDevice()),
         http_(&metrics_),
-        store_(http_, settings.store_address),
+        store_(http_, settings.store_address, settings.partitions),
         orders_(http_),
         selection_({}, settings.failure_domain, random_source::FromDevice()),
-        retries_(settings.retry_ratio * kRetryShare, RetryBurst(settings, kUsualVmCount)),
+        retries_(settings.retry_ratio * kRetryShare, settings.retry_slack * kRetryShare),
         forwarder_({context_, clock_, codec_, selection_, retries_, log_, metrics_, *this}, {}),
-        election_(entry_, store_, settings.vm.str() + "/" + random_.HexId()),
+        election_(entry_, store_, settings.vm.str() + "/" + random_.HexId(),
+                  [this] { PartsChanged(); }),
         configuration_(entry_, store_, [this] { BeliefChanged(); }),
-        directory_(entry_, store_, [this] { BeliefChanged(); }),
+        directory_(
+            entry_, store_, [this] { return election_.HoldsController(); },
+            [this] { BeliefChanged(); }),
         formation_(entry_, election_, orders_),
         notices_(
             entry_, store_, [this] { return election_.IsController(); },
@@ -109,6 +105,8 @@
     notices_.Report(group);
   }
 
+  void OnSurprise() override { directory_.OnSurprise(); }
+
   duration ConfigurationAge() const override { return AgeOf(state_.configuration_confirmed_at); }
   duration DirectoryAge() const override { return AgeOf(state_.directory_confirmed_at); }
 
@@ -122,10 +120,14 @@
            AreKeysCurrent();
   }
 
+  void PartsChanged() {
+    selection_.SetParts(election_.ConfirmedParts());
+    retries_.SetShare(election_.parts().Share());
+  }
+
   void BeliefChanged() {
     formation_.Wake();
     if (!state_.configuration) return;
-    selection_.SetVmCount(election_.vm_count());
     selection_.Prune(
         [this](const backend_server_id& id) { return state_.directory.Find(id) != nullptr; });
     forwarder_.SetConfiguration(state_.configuration);
@@ -135,7 +137,7 @@
       log_.Write("candidates_changed", {{"candidates", candidates},
                                         {"configuration", state_.configuration->version},
                                         {"servers", state_.directory.entries().size()},
-                                        {"vms", election_.vm_count()}});
+                                        {"share", election_.parts().Share()}});
     }
     candidates_ = candidates;
     forwarder_.SetMap(std::move(map));
@@ -214,7 +216,7 @@
   order_client orders_;
   header_codec codec_;
   server_selection selection_;
-  retry_budget retries_;
+  service_retries retries_;
   forwarder forwarder_;
   controller_election election_;
   configuration_controller configuration_;
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -134,7 +134,7 @@
 }
 
 awaitable<void> forward_call::Forward() {
-  core_.retries.RecordRequest();
+  core_.retries.RecordRequest(service_);
   for (;;) {
     const dispatch_candidate* selected = SelectServer();
     while (selected == nullptr && MayWait()) {
@@ -142,6 +142,7 @@
       selected = SelectServer();
     }
     if (selected == nullptr) {
+      if (selection_failure_ != selection_failure::kAllFull) core_.hooks.OnSurprise();
       EndUnselected();
       co_return;
     }
@@ -219,7 +220,7 @@
   if (sends_ >= core_.options.max_sends) return false;
   const auto& candidates = core_.map->Candidates(service_, facts_.model);
   if (!core_.selection.HasOther(candidates, tried_, core_.Now())) return false;
-  return core_.retries.TryTake();
+  return core_.retries.TryTake(service_);
 }
 
 bool forward_call::MayTryAgain(bool may_have_run) const {
@@ -232,6 +233,7 @@
   last_failure_ = exchange.failure();
   if (exchange.last_event()) last_event_ = exchange.last_event();
   if (end == exchange_end::kNotSent) {
+    core_.hooks.OnSurprise();
     core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "not_sent"}}).Increment();
     if (MayTryAgain(false)) return false;
     GiveUp(502, "unreachable");
@@ -285,18 +287,20 @@
   const bool misplaced = answer.facts.wrong_server || broken_group;
   core_.selection.LoadOf(server.server)
       .Suspend(now + (misplaced ? core_.options.suspension : core_.options.full_suspension));
+  if (misplaced) core_.hooks.OnSurprise();
   if (broken_group) core_.ReportStall(server, "server_blames_member", duration::zero());
   if (!misplaced) core_.selection.LoadOf(server.server).Congested(now);
   const char* reason = misplaced ? "wrong_server" : "server_full";
   core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
-  if (MayTryAgain(false) && core_.retries.TryTake()) return false;
+  if (MayTryAgain(false) && core_.retries.TryTake(service_)) return false;
   GiveUp(502, reason);
   return true;
 }
 
 bool forward_call::CanMoveNow() {
   const auto& candidates = core_.map->Candidates(service_, facts_.model);
-  return core_.selection.HasOther(candidates, tried_, core_.Now()) && core_.retries.TryTake();
+  return core_.selection.HasOther(candidates, tried_, core_.Now()) &&
+         core_.retries.TryTake(service_);
 }
 
 bool forward_call::ConcludeBroken(exchange_cut cut) {
--- a/src/forward/forward_core.h
+++ b/src/forward/forward_core.h
@@ -15,7 +15,7 @@
 #include "waxwingwing/forward/forwarder.h"
 #include "waxwingwing/logging/event_log.h"
 #include "waxwingwing/metrics/metrics_registry.h"
-#include "waxwingwing/routing/retry_budget.h"
+#include "waxwingwing/routing/service_retries.h"
 
 namespace waxwingwing {
 
@@ -33,7 +33,7 @@
   const runtime_clock& clock;
   const call_codec& codec;
   server_selection& selection;
-  retry_budget& retries;
+  service_retries& retries;
   event_log& log;
   metrics_registry& metrics;
   forward_hooks& hooks;
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -22,6 +22,14 @@
   balance_ = std::min(burst_, balance_ + fraction_);
 }
 
+void retry_budget::SetBurst(double burst) {
+  assert(burst >= 0);
+  const std::lock_guard lock(mutex_);
+  // A larger part of the budget is there at once, as at the start.
+  balance_ = std::clamp(balance_ + burst - burst_, 0.0, burst);
+  burst_ = burst;
+}
+
 bool retry_budget::TryTake() {
   const std::lock_guard lock(mutex_);
   if (balance_ < 1 - kTolerance) return false;
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -181,10 +181,12 @@
   members_[name] = {MonotonicMicros(), call.at("ttl_ms").get<std::int64_t>() * 1000};
   const auto place = std::distance(members_.begin(), members_.find(name));
   json parts = json::array();
-  const std::string topic_name = call.at("topics").at(0).get<std::string>();
-  for (std::size_t part = 0; part < FLAGS_partitions; ++part) {
-    if (part % members_.size() == static_cast<std::size_t>(place)) {
-      parts.push_back(json::array({topic_name, part, 0}));
+  std::size_t number = 0;
+  for (const json& topic_name : call.at("topics")) {
+    for (std::size_t part = 0; part < FLAGS_partitions; ++part, ++number) {
+      if (number % members_.size() == static_cast<std::size_t>(place)) {
+        parts.push_back(json::array({topic_name, part, 0}));
+      }
     }
   }
   const json answer = {{"generation", generation_}, {"parts", std::move(parts)}};
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -88,6 +88,7 @@
           {"bounds",
            {{"strict_revoke", true},
             {"revoke_ms", 5000},
+            {"drain_ms", 2000},
             {"grace_s", 8},
             {"retry_ratio", 0.2},
             {"retry_slack", 136},
--- a/tests/unit/server_selection_test.cc
+++ b/tests/unit/server_selection_test.cc
@@ -156,8 +156,11 @@
   candidates[0].cold_rate = kColdRate;
   std::vector<server_selection> vms;
   for (std::size_t i = 0; i < kVms; ++i) {
+    work_parts parts;
+    parts.all = 400;
+    for (std::size_t part = i; part < parts.all; part += kVms) parts.held.insert(part);
     vms.push_back(Selection(i));
-    vms.back().SetVmCount(kVms);
+    vms.back().SetParts(parts);
   }
   std::vector<time_point> sent;
   for (time_point now = kStart; now < kStart + std::chrono::seconds(5); now += kMs(5)) {
--- /dev/null
+++ b/tests/unit/shared_limits_test.cc
@@ -0,0 +1,114 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <vector>
+
+#include "waxwingwing/directory/read_pace.h"
+#include "waxwingwing/dispatch/cold_limits.h"
+#include "waxwingwing/routing/service_retries.h"
+
+namespace waxwingwing {
+namespace {
+
+const time_point kStart{std::chrono::hours(1)};
+const backend_server_id kServer("cold-server");
+constexpr std::size_t kAllParts = 408;
+constexpr double kColdRate = 26;
+
+work_parts PartsOf(std::size_t vm, std::size_t vms) {
+  work_parts parts;
+  parts.all = kAllParts;
+  for (std::size_t part = vm; part < parts.all; part += vms) parts.held.insert(part);
+  return parts;
+}
+
+/// Most requests that `vms` VMs send a cold server within one second. All VMs want to send at every
+/// moment of `busy` after a quiet second, and again after a quiet time.
+std::size_t MostInOneSecond(std::size_t vms, duration busy) {
+  std::vector<cold_limits> limits(vms);
+  for (std::size_t vm = 0; vm < vms; ++vm) limits[vm].SetParts(PartsOf(vm, vms));
+  std::vector<time_point> sent;
+  for (time_point now = kStart; now < kStart + std::chrono::seconds(6); now += milliseconds(10)) {
+    const bool wanted = (now - kStart) % std::chrono::seconds(2) < busy;
+    for (cold_limits& limit : limits) {
+      if (!limit.MayTake(kServer, kColdRate, now) || !wanted) continue;
+      limit.Take(kServer);
+      sent.push_back(now);
+    }
+  }
+  std::size_t most = 0;
+  for (const time_point first : sent) {
+    const auto within = std::count_if(sent.begin(), sent.end(), [&](time_point at) {
+      return at >= first && at < first + std::chrono::seconds(1);
+    });
+    most = std::max(most, static_cast<std::size_t>(within));
+  }
+  return most;
+}
+
+TEST_CASE("load pattern: many VMs turn to a cold server at once and stay within what it bears",
+          "[dispatch][load]") {
+  // The deployments allow 1.5 times the rate and five more.
+  const double bound = kColdRate * 1.5 + 5;
+  for (const std::size_t vms : {1U, 9U, 63U, 390U}) {
+    for (const int busy_ms : {200, 1000, 2000}) {
+      INFO(vms << " VMs, busy for " << busy_ms << " ms");
+      const std::size_t most = MostInOneSecond(vms, milliseconds(busy_ms));
+      CHECK(static_cast<double>(most) <= bound);
+      CHECK(most > 0);
+    }
+  }
+}
+
+TEST_CASE("a VM whose parts are not confirmed sends a cold server nothing", "[dispatch]") {
+  cold_limits limits;
+  limits.SetParts(PartsOf(0, 1));
+  CHECK(!limits.MayTake(kServer, kColdRate, kStart));
+  CHECK(limits.MayTake(kServer, kColdRate, kStart + std::chrono::seconds(1)));
+  limits.SetParts({{}, kAllParts});
+  CHECK(!limits.MayTake(kServer, kColdRate, kStart + std::chrono::seconds(5)));
+}
+
+TEST_CASE("load pattern: a service that fails all its requests uses up only its own retries",
+          "[routing][load]") {
+  constexpr double kSlack = 136;
+  constexpr std::size_t kVms = 9;
+  const service_id failing("failing");
+  const service_id sound("sound");
+  std::size_t retries = 0;
+  std::size_t requests = 0;
+  for (std::size_t vm = 0; vm < kVms; ++vm) {
+    service_retries budget(0.2, kSlack);
+    budget.SetShare(PartsOf(vm, kVms).Share());
+    for (int i = 0; i < 200; ++i) {
+      budget.RecordRequest(sound);
+      if (i % 10 != 0) continue;
+      budget.RecordRequest(failing);
+      ++requests;
+      for (int attempt = 0; attempt < 3; ++attempt) retries += budget.TryTake(failing) ? 1 : 0;
+    }
+    CHECK(budget.TryTake(sound));
+  }
+  CHECK(static_cast<double>(retries) <= 0.2 * static_cast<double>(requests) + kSlack);
+}
+
+TEST_CASE("a VM that holds no part of the work may still retry one request", "[routing]") {
+  service_retries budget(0.2, 136);
+  CHECK(budget.TryTake(service_id("desk")));
+  CHECK(!budget.TryTake(service_id("desk")));
+}
+
+TEST_CASE("registrations are read often only by the controller and after a surprise",
+          "[directory]") {
+  read_pace pace(milliseconds(2000));
+  const milliseconds usual = pace.Interval(false, kStart);
+  // Two calls of up to 0.8 s each leave time to stop sending to a server that leaves.
+  CHECK(usual + milliseconds(2 * 500 + 300) < milliseconds(2500));
+  CHECK(usual >= milliseconds(700));
+  CHECK(pace.Interval(true, kStart) <= milliseconds(150));
+  pace.Surprised(kStart);
+  CHECK(pace.Interval(false, kStart + milliseconds(500)) <= milliseconds(300));
+  CHECK(pace.Interval(false, kStart + std::chrono::seconds(3)) == usual);
+}
+
+}  // namespace
+}  // namespace waxwingwing
