entry: a link from every VM to the controller; choose groups by all VMs' loads

Change: VMs find the controller by the store's list of holders and keep one connection of the peer protocol to it. The controller passes on what changes among the registrations (packed with zlib: its link has 20 Mbit/s), sums the VMs' requests at each server, and hears of stalls. A VM that hears nothing for 0.6 s reads the store itself, as before. A group is the less loaded of two random ones, by the requests of all VMs. Calls to a store that is away are repeated less often. A server that registers again while its removal is held back counts as a change, since others may have been told of the removal.

--- a/include/waxwingwing/dispatch/server_load.h
+++ b/include/waxwingwing/dispatch/server_load.h
@@ -27,6 +27,10 @@
   void RequestEnded(bool begun, bool failed, time_point now);
   /// Nothing is sent to the server until `until`, unless an event arrives before.
   void Suspend(time_point until);
+  /// Requests of all other VMs at the server, as they were told at `now`.
+  void SetOthers(std::uint32_t running, time_point now);
+  /// Requests of all other VMs; 0 when nothing was told lately.
+  std::uint32_t others(time_point now) const;
 
   bool IsSuspended(time_point now) const { return suspended_until_ && now < *suspended_until_; }
   std::optional<time_point> suspended_until() const { return suspended_until_; }
@@ -66,6 +70,8 @@
   std::optional<time_point> newest_begun_;
   std::optional<time_point> streams_since_;
   std::optional<time_point> suspended_until_;
+  std::uint32_t others_ = 0;
+  std::optional<time_point> others_told_at_;
 };
 
 }  // namespace waxwingwing
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -12,6 +12,7 @@
 #include "waxwingwing/dispatch/cold_limits.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_load.h"
+#include "waxwingwing/dispatch/server_requests.h"
 
 namespace waxwingwing {
 
@@ -53,14 +54,22 @@
   bool HasOther(const std::vector<dispatch_candidate>& candidates,
                 const std::set<backend_server_id>& excluded, time_point now);
 
+  /// This VM's requests at each server that has any.
+  server_requests OwnRequests() const;
+  /// The requests of all other VMs at each server; servers left out have none.
+  void SetOtherRequests(const server_requests& requests, time_point now);
+
   server_load& LoadOf(const backend_server_id& server) { return loads_[server]; }
   /// Forgets servers that `is_known` denies and that have no request.
   void Prune(const std::function<bool(const backend_server_id&)>& is_known);
 
  private:
   bool IsWithinColdRate(const dispatch_candidate& candidate, time_point now);
+  /// The least loaded of some of the servers; reorders `usable`, which must not be empty.
+  const dispatch_candidate* LeastLoaded(std::vector<const dispatch_candidate*>& usable,
+                                        time_point now);
   bool IsFull(const dispatch_candidate& candidate, const server_load& load) const;
-  double ScoreOf(const dispatch_candidate& candidate, const server_load& load);
+  double ScoreOf(const dispatch_candidate& candidate, const server_load& load, time_point now);
 
   const selection_options options_;
   const failure_domain_id own_domain_;
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -9,6 +9,7 @@
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/ids.h"
+#include "waxwingwing/core/result.h"
 #include "waxwingwing/core/units.h"
 #include "waxwingwing/membership/backend_report.h"
 #include "waxwingwing/peer/msgpack_types.h"
@@ -177,10 +178,76 @@
   MSGPACK_DEFINE(request, fencing, credits)
 };
 
+/// Requests that VMs have at one backend server.
+struct server_requests_message {
+  std::string server;
+  std::uint32_t running = 0;
+
+  bool operator==(const server_requests_message&) const = default;
+  MSGPACK_DEFINE(server, running)
+};
+
+/// A VM's own requests at each backend server; sent to the controller at short intervals.
+struct vm_load_message {
+  std::vector<server_requests_message> servers;
+
+  bool operator==(const vm_load_message&) const = default;
+  MSGPACK_DEFINE(servers)
+};
+
+/// A registration as the store keeps it; without a value the key was removed.
+struct registration_message {
+  std::string key;
+  std::optional<std::string> value;
+
+  bool operator==(const registration_message&) const = default;
+  MSGPACK_DEFINE(key, value)
+};
+
+/// A list of `registration_message`, packed with msgpack and compressed with zlib.
+struct packed_changes {
+  std::uint32_t unpacked_bytes = 0;
+  std::string bytes;
+
+  bool operator==(const packed_changes&) const = default;
+  MSGPACK_DEFINE(unpacked_bytes, bytes)
+};
+
+packed_changes PackChanges(const std::vector<registration_message>& changes);
+/// Fails when the bytes are not what `PackChanges` makes.
+result<std::vector<registration_message>> UnpackChanges(const packed_changes& packed);
+
+/// From the controller to all VMs: what changed among the registrations of backend servers, and the
+/// requests that all VMs together have at them.
+struct directory_feed_message {
+  /// Offsets of the store's records that the message covers: from the first to the one after the
+  /// last. Records that change nothing are left out.
+  std::uint64_t from = 0;
+  std::uint64_t next = 0;
+  /// Packed, since every VM gets them: see `PackChanges`.
+  packed_changes changes;
+  /// Time since the controller asked the store.
+  milliseconds age{0};
+  std::vector<server_requests_message> servers;
+
+  bool operator==(const directory_feed_message&) const = default;
+  MSGPACK_DEFINE(from, next, changes, age, servers)
+};
+
+/// To the controller: the streams of a group stand still, as one VM sees it.
+struct stall_message {
+  std::string group;
+  /// The group's head.
+  std::string server;
+
+  bool operator==(const stall_message&) const = default;
+  MSGPACK_DEFINE(group, server)
+};
+
 /// The order gives the type byte: 1 for `hello_message` and so on.
-using peer_message =
-    std::variant<hello_message, node_status_message, log_fetch_message, log_records_message,
-                 credit_request_message, credit_grant_message>;
+using peer_message = std::variant<hello_message, node_status_message, log_fetch_message,
+                                  log_records_message, credit_request_message, credit_grant_message,
+                                  vm_load_message, directory_feed_message, stall_message>;
 
 /// Name of the message's type, for metrics.
 std::string_view TypeName(const peer_message& message);
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -29,7 +29,11 @@
     if (server.born < old.born) return false;
     if (server.born == old.born && server.revision < old.revision) return false;
   }
-  if (known == entries_.end() || !SameFacts(known->second.server, server)) ++change_count_;
+  // A server whose removal was held back is news to those who have already removed it.
+  const bool returns = known != entries_.end() && known->second.removal_at.has_value();
+  if (known == entries_.end() || returns || !SameFacts(known->second.server, server)) {
+    ++change_count_;
+  }
   entry& target = entries_[server.id];
   target.updated_at = now;
   target.cold_until = now + server.cold_left;
--- a/src/dispatch/server_load.cc
+++ b/src/dispatch/server_load.cc
@@ -27,6 +27,9 @@
 /// Part of the objective within which an answer begins in time.
 constexpr double kTimelyPart = 0.8;
 
+/// Age at which the requests of other VMs are out of date: four reports.
+constexpr milliseconds kOthersLimit{1000};
+
 duration Smooth(duration old, duration value) {
   return std::chrono::duration_cast<duration>(old * (1 - kSmoothing) + value * kSmoothing);
 }
@@ -83,6 +86,15 @@
   suspended_until_ = std::max(suspended_until_.value_or(until), until);
 }
 
+void server_load::SetOthers(std::uint32_t running, time_point now) {
+  others_ = running;
+  others_told_at_ = now;
+}
+
+std::uint32_t server_load::others(time_point now) const {
+  return others_told_at_ && now - *others_told_at_ <= kOthersLimit ? others_ : 0;
+}
+
 duration server_load::SilenceOfStreams(time_point now) const {
   if (!streams_since_ || !last_event_) return duration::zero();
   return now - std::max(*streams_since_, *last_event_);
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -12,6 +12,8 @@
 /// Load added for each second between the passes of a group, in requests per slot. A pass lasts the
 /// longer the more prompts of all VMs it reads, which this VM's own requests do not show.
 constexpr double kPauseLoad = 2;
+/// Groups compared for one request.
+constexpr std::size_t kChoices = 2;
 /// Spreads requests of VMs that see equal loads.
 constexpr double kRandomLoad = 0.01;
 
@@ -30,8 +32,7 @@
     const std::vector<dispatch_candidate>& candidates, const std::set<backend_server_id>& excluded,
     time_point now, selection_failure& failure) {
   failure = selection_failure::kNoServer;
-  const dispatch_candidate* best = nullptr;
-  double best_score = 0;
+  std::vector<const dispatch_candidate*> usable;
   for (const dispatch_candidate& candidate : candidates) {
     const server_load& load = loads_[candidate.server];
     if (excluded.contains(candidate.server) || load.IsSuspended(now)) {
@@ -42,17 +43,37 @@
       failure = selection_failure::kAllFull;
       continue;
     }
-    const double score = ScoreOf(candidate, load);
-    if (best != nullptr && score >= best_score) continue;
-    best = &candidate;
-    best_score = score;
+    usable.push_back(&candidate);
   }
-  if (best == nullptr) return nullptr;
+  if (usable.empty()) return nullptr;
   failure = selection_failure::kNone;
+  const dispatch_candidate* best = LeastLoaded(usable, now);
   if (best->cold_rate > 0 && now < best->cold_until) cold_.Take(best->server);
   return best;
 }
 
+const dispatch_candidate* server_selection::LeastLoaded(
+    std::vector<const dispatch_candidate*>& usable, time_point now) {
+  // All VMs know about the same loads, which are some hundred ms old; the least loaded server of
+  // all would get the requests of every VM until the next report. Two random ones keep them apart.
+  const bool is_group = !usable.front()->group.empty();
+  if (is_group && usable.size() > kChoices) {
+    for (std::size_t i = 0; i < kChoices; ++i) {
+      std::swap(usable[i], usable[i + random_.Below(usable.size() - i)]);
+    }
+    usable.resize(kChoices);
+  }
+  const dispatch_candidate* best = nullptr;
+  double best_score = 0;
+  for (const dispatch_candidate* candidate : usable) {
+    const double score = ScoreOf(*candidate, loads_[candidate->server], now);
+    if (best != nullptr && score >= best_score) continue;
+    best = candidate;
+    best_score = score;
+  }
+  return best;
+}
+
 bool server_selection::HasOther(const std::vector<dispatch_candidate>& candidates,
                                 const std::set<backend_server_id>& excluded, time_point now) {
   return std::any_of(candidates.begin(), candidates.end(),
@@ -76,9 +97,26 @@
   return cold_.MayTake(candidate.server, candidate.cold_rate, now);
 }
 
-double server_selection::ScoreOf(const dispatch_candidate& candidate, const server_load& load) {
+server_requests server_selection::OwnRequests() const {
+  server_requests requests;
+  for (const auto& [server, load] : loads_) {
+    if (load.running() > 0) requests[server] = load.running();
+  }
+  return requests;
+}
+
+void server_selection::SetOtherRequests(const server_requests& requests, time_point now) {
+  for (auto& [server, load] : loads_) {
+    const auto told = requests.find(server);
+    load.SetOthers(told == requests.end() ? 0 : told->second, now);
+  }
+  for (const auto& [server, running] : requests) loads_[server].SetOthers(running, now);
+}
+
+double server_selection::ScoreOf(const dispatch_candidate& candidate, const server_load& load,
+                                 time_point now) {
   const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
-  double score = (load.running() + load.waiting()) / slots;
+  double score = (load.running() + load.waiting() + load.others(now)) / slots;
   score += load.failure_rate() * kFailureLoad;
   score += std::chrono::duration<double>(load.typical_pause()).count() * kPauseLoad;
   if (candidate.failure_domain != own_domain_) score += options_.other_domain_load;
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -1,5 +1,6 @@
 #include "entry/configuration_controller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "platform/record_decoder.h"
@@ -13,6 +14,8 @@
 /// the wait.
 constexpr milliseconds kReadWait{2200};
 constexpr milliseconds kRetryPause{150};
+/// A store that is away is asked less often; it must be found again within a second of its return.
+constexpr milliseconds kLongestRetryPause{600};
 
 }  // namespace
 
@@ -24,6 +27,7 @@
       health_(entry, "operators_records") {}
 
 awaitable<void> configuration_controller::Run() {
+  milliseconds retry_pause = kRetryPause;
   while (!entry_.state.stopping || entry_.state.configuration) {
     bool read = false;
     if (offset_) {
@@ -31,7 +35,8 @@
     } else {
       read = co_await ReadAll();
     }
-    if (!read) co_await Pause(entry_.context, kRetryPause);
+    if (!read) co_await Pause(entry_.context, retry_pause);
+    retry_pause = read ? kRetryPause : std::min(retry_pause * 2, kLongestRetryPause);
   }
 }
 
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -12,6 +12,8 @@
 constexpr milliseconds kMemberLifetime{1200};
 constexpr milliseconds kRenewInterval{350};
 constexpr milliseconds kRetryPause{120};
+/// Without an answer a member is out in any case; the parts are dealt anew in a second.
+constexpr milliseconds kLongestRetryPause{500};
 /// For how long an answer is trusted, from when it was asked for.
 constexpr milliseconds kTrustTime{900};
 /// Wait of a new holder: the trust of an old one, and the way of its last order.
@@ -28,6 +30,7 @@
       health_(entry, "membership") {}
 
 awaitable<void> controller_election::Run() {
+  milliseconds retry_pause = kRetryPause;
   while (!entry_.state.stopping) {
     const time_point sent_at = entry_.clock.Now();
     const auto view = co_await store_.KeepMembership(
@@ -40,7 +43,8 @@
       health_.Failed(view.reason());
     }
     on_answer_();
-    co_await Pause(entry_.context, view ? kRenewInterval : kRetryPause);
+    co_await Pause(entry_.context, view ? kRenewInterval : retry_pause);
+    retry_pause = view ? kRetryPause : std::min(retry_pause * 2, kLongestRetryPause);
   }
 }
 
--- /dev/null
+++ b/src/entry/controller_link.cc
@@ -0,0 +1,196 @@
+#include "entry/controller_link.h"
+
+#include <utility>
+#include <variant>
+
+#include "waxwingwing/platform/pause.h"
+
+namespace waxwingwing {
+namespace {
+
+/// How often a VM tells the controller of its requests; a stream runs for a second or more.
+constexpr milliseconds kReportInterval{250};
+/// How often the controller sends something when nothing changes.
+constexpr milliseconds kFeedInterval{250};
+/// Silence of the controller after which a VM reads the registrations itself: two messages.
+constexpr milliseconds kFeedLimit{600};
+/// Silence after which a VM asks the store who the controller is.
+constexpr milliseconds kLostLimit{1000};
+/// Least time between two such questions.
+constexpr milliseconds kLookupInterval{1200};
+/// Age at which what a VM has told of its requests is out of date.
+constexpr milliseconds kReportLimit{1200};
+constexpr const char* kCluster = "waxwingwing-entry";
+
+peer_settings PeerSettings(const entry_settings& settings) {
+  peer_settings peers;
+  peers.cluster = kCluster;
+  peers.own_vm = settings.vm;
+  peers.own_failure_domain = settings.failure_domain;
+  peers.silence_limit = milliseconds(1000);
+  peers.connect_timeout = milliseconds(400);
+  peers.longest_backoff = milliseconds(800);
+  return peers;
+}
+
+/// The VM and address in a member name; none when it has another form.
+std::optional<peer_address> ParseMemberName(const std::string& member) {
+  const std::size_t first = member.find('/');
+  const std::size_t last = member.rfind('/');
+  if (first == std::string::npos || first == last) return std::nullopt;
+  return peer_address{vm_id(member.substr(0, first)), member.substr(last + 1)};
+}
+
+std::string LinkAddress(const entry_settings& settings) {
+  return settings.own_ip + ":" + std::to_string(settings.first_port);
+}
+
+std::vector<server_requests_message> ToMessage(const server_requests& requests) {
+  std::vector<server_requests_message> message;
+  message.reserve(requests.size());
+  for (const auto& [server, running] : requests) message.push_back({server.str(), running});
+  return message;
+}
+
+server_requests FromMessage(const std::vector<server_requests_message>& message) {
+  server_requests requests;
+  for (const auto& entry : message) requests[backend_server_id(entry.server)] = entry.running;
+  return requests;
+}
+
+}  // namespace
+
+controller_link::controller_link(entry_context& entry, store_client& store,
+                                 controller_election& election, controller_link_hooks hooks)
+    : entry_(entry),
+      store_(store),
+      election_(election),
+      hooks_(std::move(hooks)),
+      health_(entry, "controller"),
+      network_(entry.context, PeerSettings(entry.settings), random_source::FromDevice(),
+               entry.metrics,
+               [this](const vm_id& vm, const peer_message& message) { OnMessage(vm, message); }) {}
+
+std::string controller_link::MemberName(const entry_settings& settings,
+                                        const std::string& process) {
+  return settings.vm.str() + "/" + process + "/" + LinkAddress(settings);
+}
+
+result<std::string> controller_link::Start() {
+  return network_.Listen(LinkAddress(entry_.settings));
+}
+
+awaitable<void> controller_link::Run() {
+  while (!entry_.state.stopping) {
+    if (election_.HoldsController()) {
+      if (controller_) network_.SetPeers({});
+      controller_.reset();
+      fed_at_.reset();
+    } else {
+      published_.reset();
+      co_await FollowController();
+    }
+    co_await Pause(entry_.context, kReportInterval);
+  }
+  network_.SetPeers({});
+}
+
+awaitable<void> controller_link::FollowController() {
+  const time_point now = entry_.clock.Now();
+  const bool lost = !fed_at_ || now - *fed_at_ > kLostLimit;
+  const bool may_ask = !looked_up_at_ || now - *looked_up_at_ > kLookupInterval;
+  if (lost && may_ask && election_.parts().all > 1) {
+    looked_up_at_ = now;
+    co_await FindController();
+  }
+  SendOwnRequests();
+}
+
+awaitable<void> controller_link::FindController() {
+  if (controller_) health_.Failed("silent");
+  const auto member = co_await store_.FindController();
+  if (!member) {
+    entry_.log.Write("controller_unknown", {{"reason", member.reason()}});
+    co_return;
+  }
+  const auto found = ParseMemberName(*member);
+  if (!found || found->vm == entry_.settings.vm) co_return;
+  // A link that has gone silent is made anew even when the controller is the same.
+  network_.SetPeers({});
+  network_.SetPeers({*found});
+  controller_ = found->vm;
+  entry_.log.Write("controller_found", {{"controller", found->vm.str()},
+                                        {"address", found->address},
+                                        {"generation", election_.generation()}});
+}
+
+void controller_link::SendOwnRequests() {
+  if (!controller_) return;
+  network_.Send(*controller_, vm_load_message{ToMessage(hooks_.own_requests())});
+}
+
+bool controller_link::IsFed() const {
+  return fed_at_ && entry_.clock.Now() - *fed_at_ <= kFeedLimit;
+}
+
+void controller_link::OnMessage(const vm_id& vm, const peer_message& message) {
+  const time_point now = entry_.clock.Now();
+  if (const auto* load = std::get_if<vm_load_message>(&message)) {
+    followers_[vm] = {FromMessage(load->servers), now};
+  } else if (const auto* stall = std::get_if<stall_message>(&message)) {
+    hooks_.on_stall(*stall);
+  } else if (const auto* feed = std::get_if<directory_feed_message>(&message)) {
+    // An old controller may still send; the link is to one VM at a time.
+    if (controller_ != vm) return;
+    fed_at_ = now;
+    health_.Succeeded();
+    server_requests others = FromMessage(feed->servers);
+    for (const auto& [server, running] : hooks_.own_requests()) {
+      std::uint32_t& all = others[server];
+      all -= std::min(all, running);
+    }
+    hooks_.on_other_requests(others);
+    hooks_.on_feed(*feed);
+  }
+}
+
+bool controller_link::ReportStall(const stall_message& stall) {
+  if (election_.HoldsController()) return true;
+  return IsFed() && network_.Send(*controller_, stall);
+}
+
+server_requests controller_link::AllRequests() {
+  const time_point now = entry_.clock.Now();
+  std::erase_if(followers_,
+                [&](const auto& item) { return now - item.second.heard_at > kReportLimit; });
+  server_requests all = hooks_.own_requests();
+  for (const auto& [vm, known] : followers_) {
+    for (const auto& [server, running] : known.requests) all[server] += running;
+  }
+  return all;
+}
+
+void controller_link::Publish(std::uint64_t from, std::uint64_t next,
+                              const std::vector<registration_message>& changes,
+                              time_point asked_at) {
+  if (!election_.HoldsController()) return;
+  const time_point now = entry_.clock.Now();
+  const bool due = !published_at_ || now - *published_at_ >= kFeedInterval;
+  if (published_ && changes.empty() && !due) return;
+  const server_requests all = AllRequests();
+  directory_feed_message feed;
+  // What was left out since the last message has changed nothing.
+  feed.from = published_ ? std::min(*published_, from) : from;
+  feed.next = next;
+  feed.changes = PackChanges(changes);
+  feed.age = std::chrono::ceil<milliseconds>(now - asked_at);
+  feed.servers = ToMessage(all);
+  published_ = next;
+  published_at_ = now;
+  for (const auto& [vm, known] : followers_) network_.Send(vm, feed);
+  server_requests others = all;
+  for (const auto& [server, running] : hooks_.own_requests()) others[server] -= running;
+  hooks_.on_other_requests(others);
+}
+
+}  // namespace waxwingwing
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -13,7 +13,11 @@
 /// when the store gets none; it must leave time for a second read, see `read_pace`.
 constexpr milliseconds kReadWait{300};
 constexpr milliseconds kRetryPause{200};
+/// A store that is away is asked less often; it must be found again within a second of its return.
+constexpr milliseconds kLongestRetryPause{700};
 constexpr milliseconds kRemovalCheck{300};
+/// How often a VM that is fed by another one looks whether it still is.
+constexpr milliseconds kFedCheck{250};
 /// After the store was away, servers that live are registered again within this time.
 constexpr milliseconds kReturnTime{2500};
 /// A gap in the reads after which removals may stem from an outage of the store.
@@ -21,27 +25,29 @@
 
 }  // namespace
 
-directory_controller::directory_controller(entry_context& entry, store_client& store,
-                                           std::function<bool()> orders_servers,
-                                           std::function<void()> on_change)
+directory_controller::directory_controller(entry_context& entry, store_client& store, hooks hooks)
     : entry_(entry),
       store_(store),
-      orders_servers_(std::move(orders_servers)),
-      on_change_(std::move(on_change)),
+      hooks_(std::move(hooks)),
       pace_(entry.settings.leaving_limit),
       pause_(entry.context),
       health_(entry, "server_registrations") {}
 
 awaitable<void> directory_controller::Run() {
+  milliseconds retry_pause = kRetryPause;
   for (;;) {
-    bool read = false;
-    if (offset_) {
-      read = co_await ReadOn();
-    } else {
-      read = co_await ReadAll();
+    milliseconds pause = kFedCheck;
+    if (!offset_ || has_gap_ || hooks_.orders_servers() || !hooks_.is_fed()) {
+      has_gap_ = false;
+      bool read = false;
+      if (offset_) {
+        read = co_await ReadOn();
+      } else {
+        read = co_await ReadAll();
+      }
+      pause = read ? pace_.Interval(hooks_.orders_servers(), entry_.clock.Now()) : retry_pause;
+      retry_pause = read ? kRetryPause : std::min(retry_pause * 2, kLongestRetryPause);
     }
-    milliseconds pause = kRetryPause;
-    if (read) pause = pace_.Interval(orders_servers_(), entry_.clock.Now());
     // Removals that are held back must not wait for the next read.
     if (entry_.state.directory.HasPendingRemovals()) pause = std::min(pause, kRemovalCheck);
     co_await pause_.Wait(pause);
@@ -50,9 +56,10 @@
 
 void directory_controller::OnSurprise() {
   const time_point now = entry_.clock.Now();
-  const milliseconds before = pace_.Interval(orders_servers_(), now);
+  const bool orders = hooks_.orders_servers();
+  const milliseconds before = pace_.Interval(orders, now);
   pace_.Surprised(now);
-  if (pace_.Interval(orders_servers_(), now) < before) pause_.Wake();
+  if (pace_.Interval(orders, now) < before && !hooks_.is_fed()) pause_.Wake();
 }
 
 duration directory_controller::RemovalDelay(time_point now) const {
@@ -79,6 +86,7 @@
   }
   entry_.state.directory.RemoveAllBut(listed, now, delay);
   offset_ = page->next;
+  hooks_.on_read(page->next, page->next, {}, sent_at);
   FinishRead(sent_at);
   co_return true;
 }
@@ -99,15 +107,51 @@
   const duration delay = RemovalDelay(now);
   health_.Succeeded();
   entry_.metrics.Counter("waxwingwing_registrations_read_total").Increment(page->records.size());
+  std::vector<registration_message> changes;
   for (const store_record& record : page->records) {
-    if (!record.value) entry_.state.directory.Remove(backend_server_id(record.key), now, delay);
-    Apply(record, now);
+    if (ApplyOrRemove(record, now, delay)) changes.push_back({record.key, record.value});
   }
+  const std::uint64_t from = *offset_;
   offset_ = page->next;
+  hooks_.on_read(from, page->next, changes, sent_at);
   FinishRead(sent_at);
   co_return true;
 }
 
+bool directory_controller::ApplyOrRemove(const store_record& record, time_point now,
+                                         duration removal_delay) {
+  const std::uint64_t before = entry_.state.directory.change_count();
+  if (!record.value) {
+    entry_.state.directory.Remove(backend_server_id(record.key), now, removal_delay);
+    return true;
+  }
+  Apply(record, now);
+  return entry_.state.directory.change_count() != before;
+}
+
+void directory_controller::OnFeed(const directory_feed_message& feed) {
+  // With records missing in between, only the store itself can tell.
+  if (!offset_ || feed.from > *offset_) {
+    has_gap_ = true;
+    return pause_.Wake();
+  }
+  if (feed.next < *offset_) return;
+  const auto changes = UnpackChanges(feed.changes);
+  if (!changes) {
+    entry_.log.Write("feed_unreadable", {{"reason", changes.reason()}});
+    has_gap_ = true;
+    return pause_.Wake();
+  }
+  const time_point now = entry_.clock.Now();
+  const duration delay = RemovalDelay(now);
+  health_.Succeeded();
+  for (const registration_message& change : *changes) {
+    ApplyOrRemove({change.key, change.value}, now, delay);
+  }
+  offset_ = feed.next;
+  FinishRead(now - feed.age);
+}
+
 void directory_controller::Apply(const store_record& record, time_point now) {
   if (!record.value) return;
   auto server = DecodeServer(record.key, *record.value);
@@ -146,7 +190,7 @@
   }
   if (entry_.state.directory.change_count() == reported_change_) return;
   reported_change_ = entry_.state.directory.change_count();
-  on_change_();
+  hooks_.on_change();
 }
 
 }  // namespace waxwingwing
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -15,6 +15,7 @@
 #include "entry/boot_clock.h"
 #include "entry/configuration_controller.h"
 #include "entry/controller_election.h"
+#include "entry/controller_link.h"
 #include "entry/directory_controller.h"
 #include "entry/formation_controller.h"
 #include "entry/ready_server.h"
@@ -60,12 +61,11 @@
         selection_({}, settings.failure_domain, random_source::FromDevice()),
         retries_(settings.retry_ratio * kRetryShare, settings.retry_slack * kRetryShare),
         forwarder_({context_, clock_, codec_, selection_, retries_, log_, metrics_, *this}, {}),
-        election_(entry_, store_, settings.vm.str() + "/" + random_.HexId(),
+        election_(entry_, store_, controller_link::MemberName(settings, random_.HexId()),
                   [this] { PartsChanged(); }),
+        link_(entry_, store_, election_, LinkHooks()),
         configuration_(entry_, store_, [this] { BeliefChanged(); }),
-        directory_(
-            entry_, store_, [this] { return election_.HoldsController(); },
-            [this] { BeliefChanged(); }),
+        directory_(entry_, store_, DirectoryHooks()),
         formation_(entry_, election_, orders_),
         notices_(
             entry_, store_, [this] { return election_.IsController(); },
@@ -80,12 +80,16 @@
       std::cerr << "waxwingwing entry: cannot listen: " << started.reason() << '\n';
       return kStartError;
     }
+    const auto linked = link_.Start();
+    // Without the link, this VM and those that would follow it read the store themselves.
+    if (!linked) log_.Write("link_unavailable", {{"reason", linked.reason()}});
     log_.Write("started", {{"domain", settings_.failure_domain.str()},
                            {"caller_address", settings_.caller_address},
                            {"first_start", settings_.first_start}});
     asio::co_spawn(context_, configuration_.Run(), asio::detached);
     asio::co_spawn(context_, directory_.Run(), asio::detached);
     asio::co_spawn(context_, election_.Run(), asio::detached);
+    asio::co_spawn(context_, link_.Run(), asio::detached);
     asio::co_spawn(context_, formation_.Run(), asio::detached);
     asio::co_spawn(context_, notices_.Run(), asio::detached);
     asio::co_spawn(context_, FlushLog(), asio::detached);
@@ -101,8 +105,10 @@
     return ConfigurationAge() < settings_.revoke_limit - kRevokeMargin;
   }
 
-  void OnStall(const server_group_id& group, const backend_server_id& /*head*/) override {
-    notices_.Report(group);
+  void OnStall(const server_group_id& group, const backend_server_id& head) override {
+    formation_.OnStall(group);
+    // Without a link the controller hears of it through the store.
+    if (!link_.ReportStall({group.str(), head.str()})) notices_.Report(group);
   }
 
   void OnSurprise() override { directory_.OnSurprise(); }
@@ -120,6 +126,30 @@
            AreKeysCurrent();
   }
 
+  controller_link_hooks LinkHooks() {
+    controller_link_hooks hooks;
+    hooks.on_feed = [this](const directory_feed_message& feed) { directory_.OnFeed(feed); };
+    hooks.on_stall = [this](const stall_message& stall) {
+      formation_.OnStall(server_group_id(stall.group));
+    };
+    hooks.own_requests = [this] { return selection_.OwnRequests(); };
+    hooks.on_other_requests = [this](const server_requests& requests) {
+      selection_.SetOtherRequests(requests, clock_.Now());
+    };
+    return hooks;
+  }
+
+  directory_controller::hooks DirectoryHooks() {
+    directory_controller::hooks hooks;
+    hooks.orders_servers = [this] { return election_.HoldsController(); };
+    hooks.is_fed = [this] { return link_.IsFed(); };
+    hooks.on_read = [this](std::uint64_t from, std::uint64_t next,
+                           const std::vector<registration_message>& changes,
+                           time_point asked_at) { link_.Publish(from, next, changes, asked_at); };
+    hooks.on_change = [this] { BeliefChanged(); };
+    return hooks;
+  }
+
   void PartsChanged() {
     selection_.SetParts(election_.ConfirmedParts());
     retries_.SetShare(election_.parts().Share());
@@ -219,6 +249,7 @@
   service_retries retries_;
   forwarder forwarder_;
   controller_election election_;
+  controller_link link_;
   configuration_controller configuration_;
   directory_controller directory_;
   formation_controller formation_;
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -68,11 +68,30 @@
   return any ? "credit grant names no replica" : "";
 }
 
+bool HasUnnamed(const std::vector<server_requests_message>& servers) {
+  return std::any_of(servers.begin(), servers.end(),
+                     [](const auto& entry) { return entry.server.empty(); });
+}
+
+std::string Fault(const vm_load_message& message) {
+  return HasUnnamed(message.servers) ? "a load names no server" : "";
+}
+
+std::string Fault(const directory_feed_message& message) {
+  if (message.next < message.from) return "the feed's offsets are not in order";
+  return HasUnnamed(message.servers) ? "a load names no server" : "";
+}
+
+std::string Fault(const stall_message& message) {
+  return message.group.empty() || message.server.empty() ? "a stall names no group or server" : "";
+}
+
 }  // namespace
 
 std::string_view TypeName(const peer_message& message) {
   static constexpr std::string_view kNames[] = {
-      "hello", "node_status", "log_fetch", "log_records", "credit_request", "credit_grant",
+      "hello",        "node_status", "log_fetch",      "log_records", "credit_request",
+      "credit_grant", "vm_load",     "directory_feed", "stall",
   };
   static_assert(std::size(kNames) == std::variant_size_v<peer_message>);
   return kNames[message.index()];
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -51,11 +51,9 @@
 awaitable<void> platform_store::HandleRequest(http_exchange& exchange) {
   using handler = awaitable<void> (platform_store::*)(http_exchange&);
   static const std::map<std::string, handler> kHandlers = {
-      {"/v1/log-append", &platform_store::Append},
-      {"/v1/log-read", &platform_store::Read},
-      {"/v1/log-newest", &platform_store::Newest},
-      {"/v1/log-join", &platform_store::Join},
-      {"/v1/log-leave", &platform_store::Leave}};
+      {"/v1/log-append", &platform_store::Append}, {"/v1/log-read", &platform_store::Read},
+      {"/v1/log-newest", &platform_store::Newest}, {"/v1/log-join", &platform_store::Join},
+      {"/v1/log-owners", &platform_store::Owners}, {"/v1/log-leave", &platform_store::Leave}};
   const auto found = kHandlers.find(exchange.path());
   if (found == kHandlers.end()) {
     co_await exchange.Answer(404, json::object());
@@ -179,6 +177,7 @@
   const std::string name = call.at("member").get<std::string>();
   if (!members_.contains(name)) ++generation_;
   members_[name] = {MonotonicMicros(), call.at("ttl_ms").get<std::int64_t>() * 1000};
+  divided_topics_ = call.at("topics").get<std::vector<std::string>>();
   const auto place = std::distance(members_.begin(), members_.find(name));
   json parts = json::array();
   std::size_t number = 0;
@@ -193,6 +192,20 @@
   co_await exchange.Answer(200, answer);
 }
 
+awaitable<void> platform_store::Owners(http_exchange& exchange) {
+  DropSilentMembers();
+  json rows = json::array();
+  std::size_t number = 0;
+  for (const std::string& topic_name : divided_topics_) {
+    for (std::size_t part = 0; part < FLAGS_partitions && !members_.empty(); ++part, ++number) {
+      const auto place = static_cast<std::ptrdiff_t>(number % members_.size());
+      rows.push_back(json::array({topic_name, part, std::next(members_.begin(), place)->first, 0}));
+    }
+  }
+  const json answer = {{"parts", std::move(rows)}};
+  co_await exchange.Answer(200, answer);
+}
+
 awaitable<void> platform_store::Leave(http_exchange& exchange) {
   if (members_.erase(exchange.Body().at("member").get<std::string>()) > 0) ++generation_;
   co_await exchange.Answer(200, json::object());
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -41,6 +41,7 @@
   awaitable<void> Read(http_exchange& exchange);
   awaitable<void> Newest(http_exchange& exchange);
   awaitable<void> Join(http_exchange& exchange);
+  awaitable<void> Owners(http_exchange& exchange);
   awaitable<void> Leave(http_exchange& exchange);
   void AddRecord(const std::string& name, const std::string& record);
   void DropHistory();
@@ -50,6 +51,8 @@
   static bool IsKeyed(const std::string& name) { return name.starts_with("keyed."); }
 
   std::map<std::string, topic> topics_;
+  /// Topics by whose partitions the members divide their work.
+  std::vector<std::string> divided_topics_;
   std::map<std::string, member> members_;
   std::map<std::string, std::int64_t> registered_at_us_;
   std::uint64_t generation_ = 0;
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -70,20 +70,33 @@
   caller_address_ = FreeAddress();
   ready_address_ = FreeAddress();
   WriteConfiguration(Configuration(1));
-  const auto settings = folder / "settings.json";
-  std::ofstream(settings) << Settings().dump();
-  entry_ = std::make_unique<child_process>(
-      "entry", WAXWINGWING_PROGRAM,
-      std::vector<std::string>{"entry", "--settings=" + settings.string()}, folder);
+  entry_ = StartEntry("entry", Settings("entry-1", caller_address_, ready_address_));
 }
 
-nlohmann::json entry_deployment::Settings() const {
-  return {{"node_name", "entry-1"},
+std::unique_ptr<child_process> entry_deployment::StartEntry(const std::string& name,
+                                                            const nlohmann::json& settings) {
+  const auto path = folder_.path() / (name + "-settings.json");
+  std::ofstream(path) << settings.dump();
+  return std::make_unique<child_process>(
+      name, WAXWINGWING_PROGRAM, std::vector<std::string>{"entry", "--settings=" + path.string()},
+      folder_.path());
+}
+
+child_process& entry_deployment::AddEntry(const std::string& name) {
+  more_entries_.push_back(StartEntry(name, Settings(name, FreeAddress(), FreeAddress())));
+  return *more_entries_.back();
+}
+
+nlohmann::json entry_deployment::Settings(const std::string& vm, const std::string& caller_address,
+                                          const std::string& ready_address) const {
+  const std::string link_address = FreeAddress();
+  const int link_port = std::stoi(link_address.substr(link_address.rfind(':') + 1));
+  return {{"node_name", vm},
           {"zone", "ifo"},
           {"ip", "127.0.0.1"},
           {"bootstrap", true},
-          {"port_range", {20000, 20010}},
-          {"listen", {{"front", caller_address_}, {"ready", ready_address_}}},
+          {"port_range", {link_port, link_port}},
+          {"listen", {{"front", caller_address}, {"ready", ready_address}}},
           {"zones", {{"ifo", "ogun-west"}}},
           {"bounds",
            {{"strict_revoke", true},
@@ -223,8 +236,9 @@
   return ids;
 }
 
-std::vector<nlohmann::json> entry_deployment::LogLines(const std::string& event) const {
-  std::ifstream file(folder_.path() / "entry.out");
+std::vector<nlohmann::json> entry_deployment::LogLines(const std::string& event,
+                                                       const std::string& entry) const {
+  std::ifstream file(folder_.path() / (entry + ".out"));
   std::vector<nlohmann::json> lines;
   std::string line;
   while (std::getline(file, line)) {
--- a/tests/integration/entry_deployment.h
+++ b/tests/integration/entry_deployment.h
@@ -24,6 +24,9 @@
 
   explicit entry_deployment(const options& chosen);
 
+  /// Starts another entry VM in the same deployment; callers' requests of this class go to the
+  /// first.
+  child_process& AddEntry(const std::string& name);
   /// Writes a record of the operators; an empty value removes the key.
   void WriteOperatorRecord(const std::string& key, const std::string& value);
   /// The configuration of these tests with another version.
@@ -49,7 +52,8 @@
   /// The events' numbers in a stream's body.
   static std::vector<std::string> EventIds(const std::string& body);
   /// Lines of the entry VM's log for one event.
-  std::vector<nlohmann::json> LogLines(const std::string& event) const;
+  std::vector<nlohmann::json> LogLines(const std::string& event,
+                                       const std::string& entry = "entry") const;
 
   child_process& entry() { return *entry_; }
   child_process& store() { return *store_; }
@@ -58,7 +62,10 @@
   std::string ready_address() const { return ready_address_; }
 
  private:
-  nlohmann::json Settings() const;
+  nlohmann::json Settings(const std::string& vm, const std::string& caller_address,
+                          const std::string& ready_address) const;
+  std::unique_ptr<child_process> StartEntry(const std::string& name,
+                                            const nlohmann::json& settings);
   child_process& RunnerInState(const std::string& state, std::size_t rank);
 
   temporary_folder folder_;
@@ -69,6 +76,7 @@
   std::unique_ptr<child_process> service_;
   std::vector<std::unique_ptr<child_process>> runners_;
   std::unique_ptr<child_process> entry_;
+  std::vector<std::unique_ptr<child_process>> more_entries_;
 };
 
 }  // namespace waxwingwing::integration
--- a/tests/integration/entry_test.cc
+++ b/tests/integration/entry_test.cc
@@ -124,6 +124,29 @@
   }
 }
 
+TEST_CASE("entry: a VM follows the controller and takes over when it is gone", "[entry]") {
+  entry_deployment deployment({.runners = 3});
+  deployment.WaitUntilServing();
+  child_process& second = deployment.AddEntry("second");
+  CHECK(WaitFor([&] { return !deployment.LogLines("controller_found", "second").empty(); },
+                milliseconds(6000)));
+  // What only the controller has read from the store arrives over the link.
+  const auto removed = [&] { return deployment.LogLines("server_removed", "second").size(); };
+  const auto before = removed();
+  deployment.Member().Kill();
+  CHECK(WaitFor([&] { return removed() > before; }, milliseconds(8000)));
+
+  deployment.entry().Kill();
+  CHECK(WaitFor([&] { return !deployment.LogLines("controller_gained", "second").empty(); },
+                milliseconds(6000)));
+  CHECK(WaitFor([&] { return !deployment.LogLines("dependency_lost", "second").empty(); },
+                milliseconds(6000)));
+  CHECK(second.Running());
+  for (const auto& runner : deployment.runners()) {
+    if (runner->Running()) CHECK(deployment.Records(*runner, "violations").empty());
+  }
+}
+
 TEST_CASE("entry: a new configuration is in force soon and an older one never returns", "[entry]") {
   entry_deployment deployment({});
   deployment.WaitUntilServing();
--- a/tests/unit/frame_codec_test.cc
+++ b/tests/unit/frame_codec_test.cc
@@ -54,8 +54,37 @@
   credit_grant_message grant{4, fencing_number(7), {}};
   grant.credits.push_back({replica_id("r"), generation(1), incarnation(2), request_count(3),
                            token_count(4), milliseconds(3000)});
-  return {hello,   Status(), log_fetch_message{8, "control", log_offset(3), 100, true},
-          records, wishes,   grant};
+  return {hello,
+          Status(),
+          log_fetch_message{8, "control", log_offset(3), 100, true},
+          records,
+          wishes,
+          grant,
+          vm_load_message{{{"s1", 4}}},
+          directory_feed_message{7, 9, PackChanges({{"s1", "{}"}}), milliseconds(20), {{"s1", 6}}},
+          stall_message{"g", "s1"}};
+}
+
+TEST_CASE("changes of the registrations survive packing, and broken ones are rejected", "[peer]") {
+  const std::vector<registration_message> changes = {
+      {"s1", std::string(500, 'x')}, {"s2", std::nullopt}, {"s3", "{}"}};
+  const packed_changes packed = PackChanges(changes);
+  CHECK(packed.bytes.size() < 100);
+  const auto unpacked = UnpackChanges(packed);
+  REQUIRE(unpacked);
+  CHECK(*unpacked == changes);
+  CHECK(UnpackChanges(PackChanges({}))->empty());
+
+  packed_changes huge = packed;
+  huge.unpacked_bytes = 1U << 30U;
+  CHECK(!UnpackChanges(huge));
+  for (std::size_t i = 0; i < packed.bytes.size(); ++i) {
+    packed_changes broken = packed;
+    broken.bytes[i] = static_cast<char>(broken.bytes[i] ^ 0x55);
+    // Never throws; the checksum finds almost all faults.
+    const auto read = UnpackChanges(broken);
+    if (!read) CHECK(!read.reason().empty());
+  }
 }
 
 std::string Encoded(const peer_message& message) {
@@ -100,7 +129,8 @@
   };
   CHECK(with_byte(4, 2) == frame_error::kUnknownVersion);
   CHECK(with_byte(5, 0) == frame_error::kUnknownType);
-  CHECK(with_byte(5, 7) == frame_error::kUnknownType);
+  CHECK(with_byte(5, static_cast<char>(std::variant_size_v<peer_message> + 1)) ==
+        frame_error::kUnknownType);
   CHECK(with_byte(6, 0) == frame_error::kMalformed);
   CHECK(DecodeAll(frame + "x").error == frame_error::kMalformed);
   CHECK(DecodeAll(frame.substr(0, frame.size() - 1)).error == frame_error::kMalformed);
--- a/tests/unit/peer_network_test.cc
+++ b/tests/unit/peer_network_test.cc
@@ -149,7 +149,7 @@
   SendAndAwaitClose(context, node, frame);
   CHECK(node.Closed("unknown_version") == 1);
   frame[4] = 1;
-  frame[5] = 9;
+  frame[5] = static_cast<char>(std::variant_size_v<peer_message> + 1);
   SendAndAwaitClose(context, node, frame);
   CHECK(node.Closed("unknown_type") == 1);
   SendAndAwaitClose(context, node, std::string("\0\0\0\3\1\1\xc1", 7));
--- a/tests/unit/server_directory_test.cc
+++ b/tests/unit/server_directory_test.cc
@@ -42,6 +42,18 @@
   return configuration;
 }
 
+TEST_CASE("a server that registers again before its removal is done counts as a change",
+          "[directory]") {
+  // Others may have been told of the removal already.
+  server_directory directory;
+  directory.Update(Server("a", 5, 10), kStart);
+  directory.Remove(backend_server_id("a"), kStart, std::chrono::seconds(2));
+  const std::uint64_t before = directory.change_count();
+  directory.Update(Server("a", 6, 10), kStart);
+  CHECK(directory.change_count() > before);
+  CHECK(directory.ApplyDueRemovals(kStart + std::chrono::seconds(3)).empty());
+}
+
 TEST_CASE("a registration that is older than the known one changes nothing", "[directory]") {
   server_directory directory;
   CHECK(directory.Update(Server("a", 5, 10), kStart));
--- a/tests/unit/server_selection_test.cc
+++ b/tests/unit/server_selection_test.cc
@@ -134,6 +134,68 @@
   CHECK(SettledLoad(9, 12, 26) >= 19);
 }
 
+/// Most requests at one of the groups when many VMs choose by what they were last told of each
+/// other's requests; each VM sends few.
+std::uint32_t MostByToldLoads(std::size_t vms, std::size_t groups, duration report_interval) {
+  const auto candidates = Candidates(groups, 48);
+  std::vector<server_selection> selections;
+  for (std::size_t vm = 0; vm < vms; ++vm) selections.push_back(Selection(vm + 1));
+  random_source random(7);
+  struct running_request {
+    time_point end;
+    std::size_t vm;
+    backend_server_id server;
+  };
+  std::vector<running_request> running;
+  std::uint32_t most = 0;
+  time_point told_at = kStart;
+  for (time_point now = kStart; now < kStart + std::chrono::seconds(8); now += kMs(4)) {
+    std::erase_if(running, [&](const running_request& request) {
+      if (request.end > now) return false;
+      selections[request.vm].LoadOf(request.server).RequestEnded(true, false, now);
+      return true;
+    });
+    server_requests all;
+    for (const running_request& request : running) ++all[request.server];
+    for (const auto& [server, count] : all) {
+      if (now > kStart + std::chrono::seconds(3)) most = std::max(most, count);
+    }
+    if (now - told_at >= report_interval) {
+      told_at = now;
+      for (server_selection& selection : selections) {
+        server_requests others = all;
+        for (const auto& [server, count] : selection.OwnRequests()) others[server] -= count;
+        selection.SetOtherRequests(others, now);
+      }
+    }
+    const std::size_t vm = random.Below(vms);
+    selection_failure failure{};
+    const auto* chosen = selections[vm].Select(candidates, {}, now, failure);
+    if (chosen == nullptr) continue;
+    selections[vm].LoadOf(chosen->server).RequestSent(now);
+    selections[vm].LoadOf(chosen->server).AnswerBegun(now, now, kMs(400));
+    running.push_back({now + kMs(1200), vm, chosen->server});
+  }
+  return most;
+}
+
+TEST_CASE("load pattern: many VMs that hear of each other late do not crowd at one group",
+          "[dispatch][load]") {
+  // 250 requests a second of 1.2 s each at ten groups: 30 at each one in the mean. Told loads are
+  // up to 300 ms old, in which 75 requests come.
+  const std::uint32_t most = MostByToldLoads(63, 10, kMs(300));
+  CHECK(most <= 48);
+  // Without telling each other, chance alone crowds more requests at one group.
+  CHECK(most < MostByToldLoads(63, 10, std::chrono::hours(1)));
+}
+
+TEST_CASE("what other VMs have at a server counts only while it is recent", "[dispatch]") {
+  server_load load;
+  load.SetOthers(7, kStart);
+  CHECK(load.others(kStart + kMs(500)) == 7);
+  CHECK(load.others(kStart + kMs(1500)) == 0);
+}
+
 TEST_CASE("a suspended server gets nothing until the time is over or an event arrives",
           "[dispatch]") {
   server_selection selection = Selection();
