formation: join groups of an earlier controller anew before opening them

Besides, the epochs of a term did not start above earlier ones: the floor was set on planners that existed, and at the first term of a process none did.

Change: a group that an earlier controller formed is not opened; its head leaves and the members join anew under an epoch of this term, after which servers reject older joins. A planner that is made within a term gets the term's floor.

Ruled out: waiting for late orders (they may come after 12 s).

The unit test fails before; the integration test of a takeover checks the epochs.

--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -114,6 +114,8 @@
     std::vector<backend_server_id> members;
     phase current = phase::kForming;
     time_point phase_since{};
+    /// Formed by an earlier controller, whose orders may still be on their way.
+    bool adopted = false;
     /// When this controller first saw the group.
     time_point adopted_at{};
     /// Whether `open` was or may have been sent.
--- a/src/entry/formation_controller.cc
+++ b/src/entry/formation_controller.cc
@@ -36,7 +36,9 @@
 }
 
 group_planner& formation_controller::PlannerOf(const service_id& service) {
-  return planners_.try_emplace(service, group_planner_options{}).first->second;
+  const auto [found, is_new] = planners_.try_emplace(service, group_planner_options{});
+  if (is_new) found->second.Reset(epoch_floor_);
+  return found->second;
 }
 
 void formation_controller::OnStall(const server_group_id& group) {
@@ -55,9 +57,8 @@
   }
   if (!acting_) {
     acting_ = true;
-    for (auto& [service, planner] : planners_) {
-      planner.Reset(election_.generation() * kEpochsPerGeneration);
-    }
+    epoch_floor_ = election_.generation() * kEpochsPerGeneration;
+    for (auto& [service, planner] : planners_) planner.Reset(epoch_floor_);
   }
   const time_point now = entry_.clock.Now();
   const auto configuration = entry_.state.configuration;
--- a/src/entry/formation_controller.h
+++ b/src/entry/formation_controller.h
@@ -35,6 +35,8 @@
   wakeable_pause pause_;
   const time_point started_at_;
   std::map<service_id, group_planner> planners_;
+  /// Epochs of this term are above it.
+  std::uint64_t epoch_floor_ = 0;
   /// What was last logged as missing.
   std::map<service_id, std::string> shortages_;
   bool acting_ = false;
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -160,6 +160,7 @@
       group.members.resize(model->group_size);
     }
     group.phase_since = now_;
+    group.adopted = true;
     group.adopted_at = now_;
     group.may_be_open = true;
     const bool forming = view.head_state == membership_state::kJoining ||
@@ -244,6 +245,9 @@
     group.phase_since = now_;
     return;
   }
+  // Joins that the earlier controller sent last may arrive only now and would take members out of
+  // the open group; servers reject them once they have joined under a higher epoch.
+  if (all_ready && group.adopted) return StartReleasing(group);
   if (all_ready && MaySend(group.members.front(), formation_action::kOpen, group.id)) {
     group.may_be_open = true;
     Order(group.members.front(), formation_action::kOpen, group);
--- a/tests/integration/entry_test.cc
+++ b/tests/integration/entry_test.cc
@@ -142,6 +142,12 @@
   CHECK(WaitFor([&] { return !deployment.LogLines("dependency_lost", "second").empty(); },
                 milliseconds(6000)));
   CHECK(second.Running());
+  // Epochs of a term are above all that an earlier controller may have used.
+  for (const char* entry : {"entry", "second"}) {
+    for (const auto& line : deployment.LogLines("order_sent", entry)) {
+      if (line["action"] == "join") CHECK(line["epoch"] >= 1000);
+    }
+  }
   for (const auto& runner : deployment.runners()) {
     if (runner->Running()) CHECK(deployment.Records(*runner, "violations").empty());
   }
--- a/tests/unit/gateway_service_test.cc
+++ b/tests/unit/gateway_service_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
+#include <chrono>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 #include "tests/unit/support/gateway_fixture.h"
 
@@ -87,10 +89,17 @@
   gateway_fixture fixture;
   fixture.Start();
   REQUIRE_CALL(fixture.control, ClaimKey(_, _, _)).SIDE_EFFECT(_3(Claim(claim_result::kWon)));
-  REQUIRE_CALL(fixture.control, ReleaseClaim(append_id("claim-1")));
+  const auto release = NAMED_REQUIRE_CALL(fixture.control, ReleaseClaim(append_id("claim-1")));
   const auto response =
       fixture.Post(kOnce, "a", {{"Idempotency-Key", "k1"}, {"X-Deadline-Ms", "50"}});
   REQUIRE(Field(response, "attempt") == "not_run");
+  // The key is freed when the request's coroutine ends, which may be after the caller has read the
+  // answer.
+  const auto limit = std::chrono::steady_clock::now() + std::chrono::seconds(2);
+  while (!release->is_satisfied() && std::chrono::steady_clock::now() < limit) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  REQUIRE(release->is_satisfied());
 }
 
 TEST_CASE("claims that are not won send nothing", "[gateway]") {
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -14,6 +14,55 @@
 
 std::vector<model_settings> TwoModels() { return {{"large", 6, 0.67}, {"small", 3, 0.33}}; }
 
+/// A small group that an earlier controller has joined and not opened.
+server_directory JoinedGroup(const server_group_id& group, std::uint64_t epoch, time_point now) {
+  server_directory directory;
+  for (std::uint32_t rank = 0; rank < 3; ++rank) {
+    backend_server server;
+    server.id = backend_server_id("s" + std::to_string(rank));
+    server.service = service_id("pool");
+    server.address = "10.0.0.1:80";
+    server.fabric = fabric_domain_id("d0");
+    server.model = "small";
+    server.born = 1;
+    server.revision = 1;
+    server.membership = group_membership{group, epoch, rank, membership_state::kReady};
+    directory.Update(server, now);
+  }
+  return directory;
+}
+
+TEST_CASE("a group that an earlier controller joined is not opened but joined anew",
+          "[formation]") {
+  // Late joins of the earlier controller would take members out of the open group.
+  const time_point now{std::chrono::hours(1)};
+  constexpr std::uint64_t kFloor = 2000;
+  const server_group_id group = MakeGroupName({"small", false, 47});
+  server_directory directory = JoinedGroup(group, 47, now);
+  service_settings service;
+  service.id = service_id("pool");
+  service.models = {{"small", 3, 1.0}};
+  group_planner planner({});
+  planner.Reset(kFloor);
+  time_point later = now;
+  bool left = false;
+  std::vector<formation_order> joins;
+  for (int step = 0; step < 100 && joins.empty(); ++step) {
+    later += milliseconds(60);
+    for (const formation_order& order : planner.Plan(service, directory, later)) {
+      CHECK(order.action != formation_action::kOpen);
+      if (order.action == formation_action::kJoin) joins.push_back(order);
+      if (order.action != formation_action::kLeave) continue;
+      CHECK(order.group == group);
+      left = true;
+      planner.RecordOutcome(order, order_outcome::kAccepted, later);
+    }
+  }
+  CHECK(left);
+  REQUIRE(!joins.empty());
+  CHECK(joins.front().epoch > kFloor);
+}
+
 TEST_CASE("a fabric domain forms one group of each model and keeps two spares loaded",
           "[formation]") {
   formation_world world(TwoModels(), 2, 11, 1);
