--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -36,14 +36,14 @@
           "[formation]") {
   // Late joins of the earlier controller would take members out of the open group.
   const time_point now{std::chrono::hours(1)};
-  constexpr std::uint64_t kFloor = 2000;
+  constexpr std::uint64_t epoch_floor = 2000;
   const server_group_id group = MakeGroupName({"small", false, 47});
   server_directory directory = JoinedGroup(group, 47, now);
   service_settings service;
   service.id = service_id("pool");
   service.models = {{"small", 3, 1.0}};
   group_planner planner({});
-  planner.Reset(kFloor);
+  planner.Reset(epoch_floor);
   time_point later = now;
   bool left = false;
   std::vector<formation_order> joins;
@@ -60,7 +60,7 @@
   }
   CHECK(left);
   REQUIRE(!joins.empty());
-  CHECK(joins.front().epoch > kFloor);
+  CHECK(joins.front().epoch > epoch_floor);
 }
 
 TEST_CASE("a fabric domain forms one group of each model and keeps two spares loaded",
--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -70,15 +70,15 @@
 
 TEST_CASE("load pattern: a service that fails all its requests uses up only its own retries",
           "[routing][load]") {
-  constexpr double kSlack = 136;
-  constexpr std::size_t kVms = 9;
+  constexpr double slack = 136;
+  constexpr std::size_t vm_count = 9;
   const service_id failing("failing");
   const service_id sound("sound");
   std::size_t retries = 0;
   std::size_t requests = 0;
-  for (std::size_t vm = 0; vm < kVms; ++vm) {
-    service_retries budget(0.2, kSlack);
-    budget.SetShare(PartsOf(vm, kVms).Share());
+  for (std::size_t vm = 0; vm < vm_count; ++vm) {
+    service_retries budget(0.2, slack);
+    budget.SetShare(PartsOf(vm, vm_count).Share());
     for (int i = 0; i < 200; ++i) {
       budget.RecordRequest(sound);
       if (i % 10 != 0) continue;
@@ -88,7 +88,7 @@
     }
     CHECK(budget.TryTake(sound));
   }
-  CHECK(static_cast<double>(retries) <= 0.2 * static_cast<double>(requests) + kSlack);
+  CHECK(static_cast<double>(retries) <= 0.2 * static_cast<double>(requests) + slack);
 }
 
 TEST_CASE("a VM that holds no part of the work may still retry one request", "[routing]") {
