--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -99,7 +99,9 @@
   const time_point now = entry_.clock.Now();
   const bool lost = !fed_at_ || now - *fed_at_ > kLostLimit;
   const bool may_ask = !looked_up_at_ || now - *looked_up_at_ > kLookupInterval;
-  if (lost && may_ask && election_.parts().all > 1) {
+  // Before the first answer of the store there is nobody to be found.
+  const bool has_joined = election_.generation() > 0;
+  if (lost && may_ask && has_joined) {
     looked_up_at_ = now;
     co_await FindController();
   }
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -1,11 +1,15 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "platform/base64.h"
 #include "platform/header_codec.h"
 #include "platform/record_decoder.h"
 #include "platform/settings_file.h"
+#include "platform/store_client.h"
 #include "tests/unit/mutation.h"
+#include "tests/unit/run_awaitable.h"
+#include "tests/unit/scripted_http_server.h"
 
 namespace waxwingwing {
 namespace {
@@ -65,6 +69,34 @@
   CHECK(configuration.ServiceById(service_id("pool"))->models.size() == 2);
 }
 
+TEST_CASE("the store's client asks for few topics and finds the controller", "[platform]") {
+  boost::asio::io_context context;
+  scripted_http_server server(context);
+  metrics_registry metrics;
+  http_client http(&metrics);
+  for (const std::size_t partitions : {1U, 12U, 24U, 500U}) {
+    store_client store(http, server.address(), partitions);
+    server.Add({200, R"({"generation":7,"parts":[["waxwingwing-control-0",0,0],["other",1,0]]})"});
+    const auto view = RunAwaitable(
+        context, store.KeepMembership("vm/process/10.0.0.1:7340", 0, milliseconds(1200)));
+    REQUIRE(view);
+    CHECK(view->HoldsController());
+    CHECK(view->parts.held == std::set<std::size_t>{0});
+    // The store keeps 100 topics at most.
+    const auto topics = json::parse(server.seen().back().body)["topics"];
+    CHECK(topics.size() <= 50);
+    CHECK(view->parts.all == topics.size() * partitions);
+  }
+  store_client store(http, server.address(), 12);
+  server.Add({200, R"({"parts":[["waxwingwing-control-0",1,"a/p/10.0.0.1:1",0],
+                                ["waxwingwing-control-0",0,"b/p/10.0.0.2:1",0]]})"});
+  const auto controller = RunAwaitable(context, store.FindController());
+  REQUIRE(controller);
+  CHECK(*controller == "b/p/10.0.0.2:1");
+  server.Add({200, R"({"parts":"none"})"});
+  CHECK(!RunAwaitable(context, store.FindController()));
+}
+
 TEST_CASE("a route of a type that is not known may run once only", "[platform]") {
   json record = ConfigurationRecord();
   record["routes"][0]["type"] = "new_type";
