--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -12,8 +12,9 @@
 constexpr milliseconds kMemberLifetime{1200};
 constexpr milliseconds kRenewInterval{350};
 constexpr milliseconds kRetryPause{120};
-/// Without an answer a member is out in any case; the parts are dealt anew in a second.
-constexpr milliseconds kLongestRetryPause{500};
+/// When the store is back, the parts are dealt anew for each member that returns: all should return
+/// at about the same time, or the controller changes several times.
+constexpr milliseconds kLongestRetryPause{240};
 /// For how long an answer is trusted, from when it was asked for.
 constexpr milliseconds kTrustTime{900};
 /// Wait of a new holder: the trust of an old one, and the way of its last order.
