entry: take a VM's own requests off the sum in one place

Cause: found on reading the change: the controller and its followers each took their own requests off those of all VMs, once with a bound and once without.

Change: one function for both, with the bound. Behaviour is the same: the controller's sum contains its own count, so that the bound does not bind.

Ruled out: nothing.

--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -1,5 +1,6 @@
 #include "entry/controller_link.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -146,12 +147,7 @@
     if (controller_ != vm) return;
     fed_at_ = now;
     health_.Succeeded();
-    server_requests others = FromMessage(feed->servers);
-    for (const auto& [server, running] : hooks_.own_requests()) {
-      std::uint32_t& all = others[server];
-      all -= std::min(all, running);
-    }
-    hooks_.on_other_requests(others);
+    HandInOtherRequests(FromMessage(feed->servers));
     hooks_.on_feed(*feed);
   }
 }
@@ -190,9 +186,16 @@
   published_ = next;
   published_at_ = now;
   for (const auto& [vm, known] : followers_) network_.Send(vm, feed);
-  server_requests others = all;
-  for (const auto& [server, running] : hooks_.own_requests()) others[server] -= running;
-  hooks_.on_other_requests(others);
+  HandInOtherRequests(all);
+}
+
+void controller_link::HandInOtherRequests(server_requests all) const {
+  for (const auto& [server, running] : hooks_.own_requests()) {
+    std::uint32_t& others = all[server];
+    // The sum is older than this VM's own count.
+    others -= std::min(others, running);
+  }
+  hooks_.on_other_requests(all);
 }
 
 }  // namespace waxwingwing
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -66,6 +66,8 @@
   awaitable<void> FollowController();
   awaitable<void> FindController();
   void SendOwnRequests();
+  /// Takes this VM's own requests off those of all VMs and hands in the rest.
+  void HandInOtherRequests(server_requests all) const;
   /// The newest requests of all followers and this VM; forgets silent followers.
   server_requests AllRequests();
 
