gateway, entry: avoid servers that gave no answer; bound reads of the configuration by its limit

A server that gave one request no answer now gets no others for 1 s, and resumptions at the same server over a new connection no longer draw on the retry budget, since they add no load there.

Reads now wait at most the time in which a configuration must be in force less 0.5 s (1.5 s where it is 2 s, 2.5 s where it is 3 s). The stand-in store has the fault `miss_wakes`; the new test fails with the old wait (1 of 3 checks) and passes now.

--- a/include/waxwingwing/directory/read_pace.h
+++ b/include/waxwingwing/directory/read_pace.h
@@ -27,4 +27,11 @@
   std::optional<time_point> surprised_at_;
 };
 
+/// Longest wait of one read of the operators' records.
+///
+/// The store does not always wake a waiting read for a new record, so that the next read must find
+/// it within `configuration_limit`; and each answer confirms that keys are current, which they are
+/// taken for no longer than `revoke_limit`.
+milliseconds LongestConfigurationWait(milliseconds configuration_limit, milliseconds revoke_limit);
+
 }  // namespace waxwingwing
--- a/include/waxwingwing/entry/entry_settings.h
+++ b/include/waxwingwing/entry/entry_settings.h
@@ -29,6 +29,8 @@
   /// Whether keys that were taken away must stop working on VMs that cannot read the store, too.
   bool strict_revoke = false;
   milliseconds revoke_limit{5000};
+  /// Time after a configuration's acknowledgement at which it must be in force.
+  milliseconds configuration_limit{2000};
   /// Time after a backend server's notice of leaving at which it may get no more requests.
   milliseconds leaving_limit{2000};
   /// Time between SIGTERM and the end of the process by force.
--- a/include/waxwingwing/streaming/attempt_policy.h
+++ b/include/waxwingwing/streaming/attempt_policy.h
@@ -37,6 +37,9 @@
 /// Label value of the failure in counters, such as `connect_failed`.
 std::string_view ToText(attempt_failure failure);
 
+/// Whether the backend server did not begin an answer, and the next request may fare alike.
+bool GaveNoAnswer(attempt_failure failure);
+
 /// Whether a rejected request can have reached a backend server.
 enum class attempt_truth { kNotRun, kUnknown };
 
@@ -73,7 +76,7 @@
 };
 
 /// Decides what follows a failed attempt. `take_budget` takes one retry from the retry budget and
-/// is called only when a retry is otherwise possible.
+/// is called only when a retry at another server is otherwise possible.
 attempt_decision DecideNextStep(const attempt_situation& situation,
                                 const std::function<bool()>& take_budget);
 
--- a/src/directory/read_pace.cc
+++ b/src/directory/read_pace.cc
@@ -14,6 +14,12 @@
 /// get requests.
 constexpr double kLeavingPart = 0.4;
 
+/// Time for the answer of a read to arrive and to take effect, also on a VM that is busy.
+constexpr milliseconds kAnswerMargin{500};
+/// A read that gets no answer and its repetition fit into the time for which keys are trusted.
+constexpr double kConfirmationPart = 0.5;
+constexpr milliseconds kShortestConfigurationWait{200};
+
 }  // namespace
 
 milliseconds read_pace::Interval(bool orders_servers, time_point now) const {
@@ -23,4 +29,10 @@
   return std::min(usual, kSurprisedInterval);
 }
 
+milliseconds LongestConfigurationWait(milliseconds configuration_limit, milliseconds revoke_limit) {
+  const auto confirmed = std::chrono::duration_cast<milliseconds>(revoke_limit * kConfirmationPart);
+  return std::max(kShortestConfigurationWait,
+                  std::min(configuration_limit - kAnswerMargin, confirmed));
+}
+
 }  // namespace waxwingwing
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -4,15 +4,12 @@
 #include <utility>
 
 #include "platform/record_decoder.h"
+#include "waxwingwing/directory/read_pace.h"
 #include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
 
-/// Longest wait of one read. Each answer confirms that the configuration is current; keys are
-/// trusted for 4 s without one, and a connection that fell silent is noticed half a second after
-/// the wait.
-constexpr milliseconds kReadWait{2200};
 constexpr milliseconds kRetryPause{150};
 /// A store that is away is asked less often; it must be found again within a second of its return.
 constexpr milliseconds kLongestRetryPause{600};
@@ -24,6 +21,8 @@
     : entry_(entry),
       store_(store),
       on_change_(std::move(on_change)),
+      read_wait_(LongestConfigurationWait(entry.settings.configuration_limit,
+                                          entry.settings.revoke_limit)),
       health_(entry, "operators_records") {}
 
 awaitable<void> configuration_controller::Run() {
@@ -58,7 +57,7 @@
 
 awaitable<bool> configuration_controller::ReadOn() {
   const time_point sent_at = entry_.clock.Now();
-  const auto page = co_await store_.ReadFrom(store_stream::kOperators, *offset_, kReadWait);
+  const auto page = co_await store_.ReadFrom(store_stream::kOperators, *offset_, read_wait_);
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
@@ -72,8 +71,8 @@
   Apply(*page, false);
   offset_ = page->next;
   // The store answers with no record only after the wait, and had none until then.
-  const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= kReadWait;
-  entry_.state.configuration_confirmed_at = waited ? sent_at + kReadWait : sent_at;
+  const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= read_wait_;
+  entry_.state.configuration_confirmed_at = waited ? sent_at + read_wait_ : sent_at;
   co_return true;
 }
 
--- a/src/entry/configuration_controller.h
+++ b/src/entry/configuration_controller.h
@@ -27,6 +27,7 @@
   entry_context& entry_;
   store_client& store_;
   const std::function<void()> on_change_;
+  const milliseconds read_wait_;
   dependency_health health_;
   std::optional<std::uint64_t> offset_;
   std::set<failure_domain_id> evacuated_;
--- a/src/gateway/dispatch_group.cc
+++ b/src/gateway/dispatch_group.cc
@@ -8,6 +8,8 @@
 // A server that is dead is unroutable when its report is 2 s old; one that is routable after this
 // time has answered a poll again.
 constexpr milliseconds kDeadTime{3000};
+// One request in this time finds out whether a server that gave no answer is back.
+constexpr milliseconds kUnansweredTime{1000};
 
 }  // namespace
 
@@ -23,7 +25,25 @@
   const backend_run run(view.vm, view.incarnation);
   const auto dead = request.dead_until.find(run);
   if (dead != request.dead_until.end() && now < dead->second) return exclusion::kDead;
-  return request.failed.contains(run) ? exclusion::kFailed : exclusion::kNone;
+  if (request.failed.contains(run) || IsUnanswered(run, now)) return exclusion::kFailed;
+  return exclusion::kNone;
+}
+
+void dispatch_group::ReportUnanswered(const backend_view& view, time_point now) {
+  const std::lock_guard lock(unanswered_mutex_);
+  std::erase_if(unanswered_until_, [now](const auto& item) { return item.second <= now; });
+  unanswered_until_[{view.vm, view.incarnation}] = now + kUnansweredTime;
+}
+
+void dispatch_group::ReportAnswered(const backend_view& view) {
+  const std::lock_guard lock(unanswered_mutex_);
+  unanswered_until_.erase({view.vm, view.incarnation});
+}
+
+bool dispatch_group::IsUnanswered(const backend_run& run, time_point now) {
+  const std::lock_guard lock(unanswered_mutex_);
+  const auto found = unanswered_until_.find(run);
+  return found != unanswered_until_.end() && now < found->second;
 }
 
 dispatch_group::dispatch_group(kind type, const std::string& name,
--- a/src/gateway/dispatch_group.h
+++ b/src/gateway/dispatch_group.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <utility>
@@ -59,6 +60,13 @@
   placing TryPlace(const placement_request& request, std::unique_ptr<backend_placement>& placement,
                    time_point now);
 
+  /// Tells that a backend server gave no answer to a request. All requests use others for a while,
+  /// since its reports show a loss only after seconds and each request that finds it spends a
+  /// retry.
+  void ReportUnanswered(const backend_view& view, time_point now);
+  /// Tells that a backend server answered: a single lost answer must not count against it.
+  void ReportAnswered(const backend_view& view);
+
   /// True when some backend server is routable, with or without room.
   static bool HasRoutable(const std::vector<backend_view>& backends);
   /// The backend servers of this group in a snapshot.
@@ -73,8 +81,8 @@
   bool TryBackends(const std::vector<backend_view>& backends, const std::vector<std::size_t>& order,
                    const placement_request& request, exclusion level,
                    std::unique_ptr<backend_placement>& placement, time_point now);
-  static exclusion ExclusionOf(const backend_view& view, const placement_request& request,
-                               time_point now);
+  exclusion ExclusionOf(const backend_view& view, const placement_request& request, time_point now);
+  bool IsUnanswered(const backend_run& run, time_point now);
 
   kind type_;
   model_group_id model_group_;
@@ -83,6 +91,8 @@
   std::unique_ptr<replica_selector> selector_;
   admission_queue queue_;
   std::atomic<duration::rep> last_report_{0};
+  std::mutex unanswered_mutex_;
+  std::map<backend_run, time_point> unanswered_until_;
 };
 
 }  // namespace waxwingwing
--- a/src/gateway/engine_relay.cc
+++ b/src/gateway/engine_relay.cc
@@ -20,6 +20,7 @@
   const backend_view& view = context_.placement->view;
   engine_attempt attempt(context_, sink_, view, id, delivered_, last_token_at_);
   const attempt_end end = co_await attempt.Run();
+  if (attempt.next_index() > delivered_) context_.group->ReportAnswered(view);
   delivered_ = attempt.next_index();
   byte_may_be_sent_ = byte_may_be_sent_ || end.byte_may_be_sent;
   if (end.to_cancel) CancelAttempt(context_.executor(), context_.core, view.address, id);
@@ -61,6 +62,10 @@
 }
 
 awaitable<bool> engine_relay::AfterFailure(attempt_failure failure) {
+  if (GaveNoAnswer(failure)) {
+    const time_point now = std::chrono::steady_clock::now();
+    context_.group->ReportUnanswered(context_.placement->view, now);
+  }
   attempt_situation situation;
   situation.failure = failure;
   situation.delivered = delivered_;
--- a/src/gateway/service_relay.cc
+++ b/src/gateway/service_relay.cc
@@ -102,6 +102,7 @@
 }
 
 void service_relay::TakeAnswer(http::response<http::string_body>& response) {
+  context_.group->ReportAnswered(context_.placement->view);
   const auto identity = IdentityIn(response.base());
   if (identity) {
     ReportIdentity(context_.core.control, context_.placement->view, *identity);
@@ -122,6 +123,8 @@
 }
 
 awaitable<bool> service_relay::AfterFailure(attempt_failure failure) {
+  const time_point now = std::chrono::steady_clock::now();
+  if (GaveNoAnswer(failure)) context_.group->ReportUnanswered(context_.placement->view, now);
   attempt_situation situation;
   situation.failure = failure;
   situation.repeatable = context_.service->repeatable;
@@ -139,7 +142,6 @@
   context_.core.metrics.CountRetry(ToText(failure));
   const bool dead =
       failure == attempt_failure::kConnectFailed || failure == attempt_failure::kServerDead;
-  const time_point now = std::chrono::steady_clock::now();
   context_.placement_input.Exclude(context_.placement->view, dead, now);
   context_.ReleasePlacement();
   const placement_outcome outcome = co_await WaitForPlacement(context_, context_.deadline);
--- a/src/streaming/attempt_policy.cc
+++ b/src/streaming/attempt_policy.cc
@@ -37,6 +37,11 @@
 
 std::string_view ToText(attempt_failure failure) { return RuleOf(failure).name; }
 
+bool GaveNoAnswer(attempt_failure failure) {
+  return failure == attempt_failure::kConnectFailed || failure == attempt_failure::kNoAnswer ||
+         failure == attempt_failure::kServerDead;
+}
+
 std::string_view ToText(attempt_truth truth) {
   return truth == attempt_truth::kNotRun ? "not_run" : "unknown";
 }
@@ -49,7 +54,9 @@
   if (sent && !situation.repeatable) return {next_step::kGiveUp, "outcome_unknown", truth};
   if (rule.step == next_step::kGiveUp) return {next_step::kGiveUp, rule.code, truth};
   if (situation.retries >= situation.max_retries) return {next_step::kGiveUp, rule.code, truth};
-  if (!take_budget()) return {next_step::kGiveUp, "retry_budget_exhausted", truth};
+  // A server whose path died keeps the same work; the number of such resumptions is bounded above.
+  const bool adds_load = rule.step != next_step::kResumeSame;
+  if (adds_load && !take_budget()) return {next_step::kGiveUp, "retry_budget_exhausted", truth};
   return {rule.step, {}, truth};
 }
 
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -63,6 +63,10 @@
 }
 
 bool platform_store::SetFault(const std::string& name, const json& value) {
+  if (name == "miss_wakes") {
+    miss_wakes_ = value.get<bool>();
+    return true;
+  }
   if (name == "lose_answers") {
     lose_answers_ = value.get<std::uint64_t>();
     return true;
@@ -134,7 +138,9 @@
   const std::uint64_t from = exchange.QueryNumber("from", 0);
   const auto wait = milliseconds(exchange.QueryNumber("wait_ms", 0));
   const time_point deadline = std::chrono::steady_clock::now() + wait;
-  while (topics_[name].end() <= from && std::chrono::steady_clock::now() < deadline) {
+  const bool waits = topics_[name].end() <= from;
+  const auto has_record = [&] { return topics_[name].end() > from && !miss_wakes_; };
+  while (waits && !has_record() && std::chrono::steady_clock::now() < deadline) {
     co_await changed_.Wait(deadline);
   }
   const topic& source = topics_[name];
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -16,8 +16,9 @@
 /// Kind `store`: the metadata store of the users' platform, as far as the product uses it: topics
 /// with records that may have keys, long reads, and groups of members.
 ///
-/// Own faults: `lose_answers` (count: the call is carried out, then the connection is closed) and
-/// `drop_history` (bool: forgets all but the newest record of each key).
+/// Own faults: `lose_answers` (count: the call is carried out, then the connection is closed),
+/// `drop_history` (bool: forgets all but the newest record of each key) and `miss_wakes` (bool: a
+/// waiting read is answered at the end of its wait only).
 class platform_store final : public stand_in {
  public:
   explicit platform_store(asio::io_context& context);
@@ -57,6 +58,7 @@
   std::map<std::string, std::int64_t> registered_at_us_;
   std::uint64_t generation_ = 0;
   std::uint64_t lose_answers_ = 0;
+  bool miss_wakes_ = false;
   change_signal changed_;
 };
 
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -101,6 +101,7 @@
           {"bounds",
            {{"strict_revoke", true},
             {"revoke_ms", 5000},
+            {"config_apply_ms", 2000},
             {"drain_ms", 2000},
             {"grace_s", 8},
             {"retry_ratio", 0.2},
--- a/tests/integration/entry_test.cc
+++ b/tests/integration/entry_test.cc
@@ -173,6 +173,23 @@
   CHECK(deployment.Call("GET", "/lookup/x")->status == 404);
 }
 
+TEST_CASE("entry: a configuration is in force in time though the store wakes no waiting read",
+          "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  deployment.SetFault(deployment.store(), "miss_wakes", true);
+  // A read that began before the fault may still be woken.
+  std::this_thread::sleep_for(std::chrono::milliseconds(2500));
+  for (const std::uint64_t version : {7, 9, 11}) {
+    auto next = deployment.Configuration(version);
+    if (version != 9) next["routes"].erase(2);
+    deployment.WriteConfiguration(next);
+    CHECK(WaitFor(
+        [&] { return deployment.Call("GET", "/lookup/x")->status == (version == 9 ? 200 : 404); },
+        milliseconds(2000)));
+  }
+}
+
 TEST_CASE("entry: a key that was taken away stops working, also while the store is away",
           "[entry]") {
   entry_deployment deployment({});
--- a/tests/integration/request_callers.cc
+++ b/tests/integration/request_callers.cc
@@ -1,6 +1,7 @@
 #include "tests/integration/request_callers.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <stdexcept>
 #include <utility>
@@ -37,6 +38,11 @@
          std::equal(tokens.begin(), tokens.end(), expected.begin());
 }
 
+std::string MessageOf(const http_answer& answer) {
+  const json error = ErrorIn(answer.body);
+  return error.is_object() ? error.value("message", std::string()) : std::string();
+}
+
 }  // namespace
 
 result<http_answer> Send(const desk_call& call) {
@@ -152,6 +158,24 @@
   return {};
 }
 
+std::string CountByEnd(const std::vector<chat_callers::outcome>& outcomes) {
+  std::map<std::string, std::size_t> counts;
+  for (const chat_callers::outcome& one : outcomes) {
+    std::string end = "whole";
+    if (!one.whole) {
+      const json error =
+          one.answer.error_event.value_or(json::object()).value("error", json::object());
+      end = std::to_string(one.answer.raw.status) + ' ' + ErrorCode(one.answer.raw) +
+            error.value("code", std::string()) + ": " + MessageOf(one.answer.raw) +
+            error.value("message", std::string()) + one.answer.failure;
+    }
+    ++counts[end];
+  }
+  std::string text;
+  for (const auto& [end, count] : counts) text += end + ": " + std::to_string(count) + "; ";
+  return text;
+}
+
 finding_list CheckNotRun(const deployment& running,
                          const std::vector<chat_callers::outcome>& outcomes) {
   std::set<std::string> ran;
--- a/tests/integration/request_callers.h
+++ b/tests/integration/request_callers.h
@@ -89,6 +89,9 @@
 std::string FaultOfAnswer(const stream_answer& answer, const std::string& text,
                           std::uint64_t max_tokens);
 
+/// Numbers of outcomes by status and by the error's code or the failure, for messages of tests.
+std::string CountByEnd(const std::vector<chat_callers::outcome>& outcomes);
+
 /// P6: no request whose refusal says `not_run` is in the records of the engines.
 finding_list CheckNotRun(const deployment& running,
                          const std::vector<chat_callers::outcome>& outcomes);
--- a/tests/integration/request_whole_test.cc
+++ b/tests/integration/request_whole_test.cc
@@ -171,7 +171,7 @@
     REQUIRE(FaultOfAnswer(one.answer, one.text, load.max_tokens) == kNothing);
     if (one.whole) ++whole;
   }
-  INFO(whole << " of " << outcomes.size() << " answers were whole");
+  INFO(whole << " of " << outcomes.size() << " answers were whole; " << CountByEnd(outcomes));
   CHECK(whole > outcomes.size() / 2);
   CHECK(AnswersWithOtherIds(running) >= 1);
   CHECK(CheckNotRun(running, outcomes).ToText() == kNothing);
--- a/tests/unit/attempt_policy_test.cc
+++ b/tests/unit/attempt_policy_test.cc
@@ -43,6 +43,12 @@
      "outcome_unknown", truth::kUnknown},
     {"a dead path resumes on the same server", Situation(failure::kPathDead, 7, true, true), true,
      next_step::kResumeSame, "", truth::kUnknown},
+    // A network device that drops all connections at once must not end the streams of live servers.
+    {"a dead path resumes without a retry budget", Situation(failure::kPathDead, 7, true, true),
+     false, next_step::kResumeSame, "", truth::kUnknown},
+    {"a dead path resumes a bounded number of times",
+     Situation(failure::kPathDead, 7, true, true, 3), true, next_step::kGiveUp, "backend_timeout",
+     truth::kUnknown},
     {"a dead server resumes elsewhere", Situation(failure::kServerDead, 7, true, true), true,
      next_step::kRetryElsewhere, "", truth::kUnknown},
     {"a cut stream resumes", Situation(failure::kStreamCut, 1, true, true), true,
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -45,7 +45,7 @@
   return json::parse(R"({"node_name":"n1","zone":"ifo","ip":"10.0.0.1","bootstrap":true,
     "port_range":[7340,7355],"listen":{"front":"10.0.0.1:80","ready":"10.0.0.1:81"},
     "zones":{"ifo":"west"},"unknown":{"x":1},
-    "bounds":{"strict_revoke":true,"revoke_ms":5000,"drain_ms":2000,"grace_s":8,"retry_ratio":0.2,
+    "bounds":{"strict_revoke":true,"revoke_ms":5000,"config_apply_ms":3000,"drain_ms":2000,"grace_s":8,"retry_ratio":0.2,
     "retry_slack":136,"retry_window_s":10},
     "platform":{"addr":"10.2.0.1:90","parts":12,"ttl_min_ms":1000}})");
 }
--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -110,5 +110,13 @@
   CHECK(pace.Interval(false, kStart + std::chrono::seconds(3)) == usual);
 }
 
+TEST_CASE("a read of the operators' records ends before a change must be in force", "[directory]") {
+  CHECK(LongestConfigurationWait(milliseconds(2000), milliseconds(5000)) <= milliseconds(1600));
+  CHECK(LongestConfigurationWait(milliseconds(3000), milliseconds(5000)) <= milliseconds(2600));
+  // Two reads that get no answer must not end the time for which keys are trusted.
+  CHECK(LongestConfigurationWait(milliseconds(60000), milliseconds(5000)) <= milliseconds(2500));
+  CHECK(LongestConfigurationWait(milliseconds(100), milliseconds(5000)) > milliseconds(0));
+}
+
 }  // namespace
 }  // namespace waxwingwing
