formation, dispatch, entry: name the head in a group's name; first windows by a VM's part

Change: a group's name carries its head's id and address, so that any controller can ask the head and take it for dead by the same six probes as one it has seen. The window at a group that a VM has not used is twice the group's places by the VM's part, at most 6. A VM reads on 250 ms after it has read a change, so that versions in quick succession are read together.

Ruled out: keeping members of groups in a topic of the store (a call a group, and state to read at each takeover).

--- a/include/waxwingwing/dispatch/server_load.h
+++ b/include/waxwingwing/dispatch/server_load.h
@@ -16,6 +16,8 @@
  public:
   server_load();
 
+  /// The window until answers of this server have shown another one.
+  void SetFirstWindow(double window);
   void RequestSent(time_point now);
   /// The first byte of an answer, or the first event of a stream.
   /// `sent_at`: when the request was sent; `objective`: the time within which it should begin.
@@ -42,8 +44,8 @@
   double failure_rate() const { return failure_rate_; }
   /// Smoothed time to the first byte or event.
   duration typical_wait() const { return typical_wait_; }
-  /// Smoothed time between two passes of a group; zero for servers without streams.
-  duration typical_pause() const { return last_event_ ? typical_pause_ : duration::zero(); }
+  /// Smoothed time between two passes of a group; zero for servers that sent no events lately.
+  duration RecentPause(time_point now) const;
   /// Requests that this VM may have at the server. Grows while answers begin in time and shrinks
   /// when they do not, so that the VMs find a server's capacity without a message between them.
   double window() const { return window_; }
@@ -62,6 +64,7 @@
   std::uint32_t waiting_ = 0;
   double failure_rate_ = 0;
   double window_;
+  bool window_is_learned_ = false;
   std::optional<time_point> shrunk_at_;
   duration typical_wait_{0};
   duration typical_pause_{std::chrono::milliseconds(60)};
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -44,7 +44,7 @@
   server_selection(selection_options options, failure_domain_id own_domain, random_source random);
 
   /// This VM's parts of the limits that all VMs share.
-  void SetParts(const work_parts& parts) { cold_.SetParts(parts); }
+  void SetParts(const work_parts& parts);
 
   /// A candidate that is not in `excluded`; null with the reason in `failure` when there is none.
   const dispatch_candidate* Select(const std::vector<dispatch_candidate>& candidates,
@@ -71,9 +71,14 @@
   bool IsFull(const dispatch_candidate& candidate, const server_load& load) const;
   double ScoreOf(const dispatch_candidate& candidate, const server_load& load, time_point now);
 
+  /// Requests that this VM may have at a group of which it knows nothing yet.
+  double FirstWindow(const dispatch_candidate& candidate) const;
+
   const selection_options options_;
   const failure_domain_id own_domain_;
   random_source random_;
+  /// This VM's part of all VMs as it was last confirmed; 0 before that.
+  double share_ = 0;
   std::map<backend_server_id, server_load> loads_;
   cold_limits cold_;
 };
--- a/include/waxwingwing/formation/group_name.h
+++ b/include/waxwingwing/formation/group_name.h
@@ -14,6 +14,10 @@
   /// The group of one spare server, which keeps the model loaded and is never opened.
   bool spare = false;
   std::uint64_t number = 0;
+  /// The server of rank 0 and its `ip:port`, so that a controller that has never seen the head can
+  /// ask it; empty for spares.
+  backend_server_id head;
+  std::string head_address;
 };
 
 server_group_id MakeGroupName(const group_name& name);
--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -15,6 +15,7 @@
 #include "waxwingwing/directory/traffic_configuration.h"
 #include "waxwingwing/formation/formation_order.h"
 #include "waxwingwing/formation/formation_targets.h"
+#include "waxwingwing/formation/group_name.h"
 
 namespace waxwingwing {
 
@@ -125,6 +126,8 @@
   };
 
   struct server_record {
+    /// From a group's name; empty when the server is or was registered.
+    std::string address;
     /// The last order, whether its answer is awaited, and the earliest time to repeat it.
     formation_action last_action = formation_action::kProbe;
     server_group_id last_group;
@@ -170,6 +173,9 @@
   head_condition ConditionOfUnlistedHead(const group_record& group);
   void ProbeMembers(const group_record& group);
   void ProbeSilentServers();
+  /// Takes a head that this controller has never seen from the group's name.
+  void FillHead(group_record& group, const group_name& name);
+  std::string AddressOf(const backend_server_id& id);
   void FillMembers(group_record& group, const group_view& view);
   void StartReleasing(group_record& group);
   member_condition ConditionOf(const group_record& group, std::size_t rank);
--- a/src/dispatch/server_load.cc
+++ b/src/dispatch/server_load.cc
@@ -14,7 +14,7 @@
 /// Silence of this many usual pauses counts as a stall.
 constexpr double kSilenceFactor = 2.5;
 
-/// First window: more than a VM needs at usual load (26 slots among nine VMs).
+/// First window where nothing is known of the server and of other VMs.
 constexpr double kFirstWindow = 6;
 constexpr double kMinWindow = 1;
 constexpr double kMaxWindow = 64;
@@ -28,6 +28,10 @@
 /// Part of the objective within which an answer begins in time.
 constexpr double kTimelyPart = 0.8;
 
+/// Time without an event after which a group's pauses tell nothing of its load: its streams have
+/// ended, or it is full of prompts and its window shows that.
+constexpr milliseconds kPauseLifetime{1000};
+
 /// Age at which the requests of other VMs are out of date: four reports.
 constexpr milliseconds kOthersLimit{1000};
 
@@ -42,9 +46,14 @@
 void server_load::Congested(time_point now) {
   if (shrunk_at_ && now - *shrunk_at_ < kShrinkInterval) return;
   shrunk_at_ = now;
+  window_is_learned_ = true;
   window_ = std::max(kMinWindow, window_ * kWindowShrink);
 }
 
+void server_load::SetFirstWindow(double window) {
+  if (!window_is_learned_) window_ = std::max(kMinWindow, window);
+}
+
 void server_load::RequestSent(time_point /*now*/) {
   ++running_;
   ++waiting_;
@@ -57,6 +66,7 @@
     Congested(now);
   } else if (running_ + 1 >= window_) {
     window_ = std::min(kMaxWindow, window_ + kWindowGrowth / window_);
+    window_is_learned_ = true;
   }
   newest_begun_ = std::max(newest_begun_.value_or(sent_at), sent_at);
   typical_wait_ = typical_wait_ == duration::zero() ? waited : Smooth(typical_wait_, waited);
@@ -96,6 +106,11 @@
   return others_told_at_ && now - *others_told_at_ <= kOthersLimit ? others_ : 0;
 }
 
+duration server_load::RecentPause(time_point now) const {
+  const bool is_recent = last_event_ && now - *last_event_ <= kPauseLifetime;
+  return is_recent ? typical_pause_ : duration::zero();
+}
+
 duration server_load::SilenceOfStreams(time_point now) const {
   if (!streams_since_ || !last_event_) return duration::zero();
   return now - std::max(*streams_since_, *last_event_);
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <utility>
 
 namespace waxwingwing {
@@ -12,6 +13,11 @@
 /// Load added for each second between the passes of a group, in requests per slot. A pass lasts the
 /// longer the more prompts of all VMs it reads, which this VM's own requests do not show.
 constexpr double kPauseLoad = 2;
+/// Requests of all VMs together at a group that none of them has used, for each place of the group:
+/// after a loss of power all callers return at once, and what a group cannot start waits there.
+constexpr double kFirstRequestsPerSlot = 2;
+/// Largest first window: VMs that join one after the other see too large parts at first.
+constexpr double kMaxFirstWindow = 6;
 /// Groups compared for one request.
 constexpr std::size_t kChoices = 2;
 /// Spreads requests of VMs that see equal loads.
@@ -28,13 +34,25 @@
                                    random_source random)
     : options_(options), own_domain_(std::move(own_domain)), random_(random) {}
 
+void server_selection::SetParts(const work_parts& parts) {
+  cold_.SetParts(parts);
+  if (!parts.held.empty()) share_ = parts.Share();
+}
+
+double server_selection::FirstWindow(const dispatch_candidate& candidate) const {
+  if (share_ <= 0) return kMaxFirstWindow;
+  const double requests = kFirstRequestsPerSlot * static_cast<double>(candidate.slots);
+  return std::min(kMaxFirstWindow, std::floor(requests * share_));
+}
+
 const dispatch_candidate* server_selection::Select(
     const std::vector<dispatch_candidate>& candidates, const std::set<backend_server_id>& excluded,
     time_point now, selection_failure& failure) {
   failure = selection_failure::kNoServer;
   std::vector<const dispatch_candidate*> usable;
   for (const dispatch_candidate& candidate : candidates) {
-    const server_load& load = loads_[candidate.server];
+    server_load& load = loads_[candidate.server];
+    if (!candidate.group.empty()) load.SetFirstWindow(FirstWindow(candidate));
     if (excluded.contains(candidate.server) || load.IsSuspended(now)) {
       failure = std::max(failure, selection_failure::kAllSuspended);
       continue;
@@ -118,7 +136,7 @@
   const double slots = static_cast<double>(std::max<std::size_t>(candidate.slots, 1));
   double score = (load.running() + load.waiting() + load.others(now)) / slots;
   score += load.failure_rate() * kFailureLoad;
-  score += std::chrono::duration<double>(load.typical_pause()).count() * kPauseLoad;
+  score += std::chrono::duration<double>(load.RecentPause(now)).count() * kPauseLoad;
   if (candidate.failure_domain != own_domain_) score += options_.other_domain_load;
   return score + random_.Fraction() * kRandomLoad;
 }
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr milliseconds kRetryPause{150};
+/// Pause after a read with records: versions that follow each other quickly are read together. A
+/// record written meanwhile is read at once afterwards, so the longest delay stays the read's wait.
+constexpr milliseconds kChangePause{250};
 /// A store that is away is asked less often; it must be found again within a second of its return.
 constexpr milliseconds kLongestRetryPause{600};
 
@@ -73,6 +76,7 @@
   // The store answers with no record only after the wait, and had none until then.
   const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= read_wait_;
   entry_.state.configuration_confirmed_at = waited ? sent_at + read_wait_ : sent_at;
+  if (!page->records.empty()) co_await Pause(entry_.context, kChangePause);
   co_return true;
 }
 
--- a/src/formation/group_name.cc
+++ b/src/formation/group_name.cc
@@ -8,6 +8,18 @@
 
 constexpr std::string_view kServingPrefix = "serve:";
 constexpr std::string_view kSparePrefix = "spare:";
+constexpr char kHeadMark = '@';
+
+/// Takes the head and its address, if there are any, off the end of a name.
+void TakeHead(std::string_view& text, group_name& name) {
+  const std::size_t address = text.rfind(kHeadMark);
+  if (address == std::string_view::npos || address == 0) return;
+  const std::size_t head = text.rfind(kHeadMark, address - 1);
+  if (head == std::string_view::npos) return;
+  name.head = backend_server_id(std::string(text.substr(head + 1, address - head - 1)));
+  name.head_address = text.substr(address + 1);
+  text = text.substr(0, head);
+}
 
 }  // namespace
 
@@ -16,6 +28,7 @@
   text += name.model;
   text += ':';
   text += std::to_string(name.number);
+  if (!name.head.empty()) text += kHeadMark + name.head.str() + kHeadMark + name.head_address;
   return server_group_id(text);
 }
 
@@ -25,6 +38,7 @@
   name.spare = text.starts_with(kSparePrefix);
   if (!name.spare && !text.starts_with(kServingPrefix)) return std::nullopt;
   text.remove_prefix(kServingPrefix.size());
+  if (!name.spare) TakeHead(text, name);
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
   name.model = text.substr(0, colon);
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -159,6 +159,7 @@
     if (model != nullptr && group.members.size() < model->group_size) {
       group.members.resize(model->group_size);
     }
+    if (name && group.members.front().empty()) FillHead(group, *name);
     group.phase_since = now_;
     group.adopted = true;
     group.adopted_at = now_;
@@ -170,6 +171,12 @@
   }
 }
 
+void group_planner::FillHead(group_record& group, const group_name& name) {
+  if (name.head.empty()) return;
+  group.members.front() = name.head;
+  servers_[name.head].address = name.head_address;
+}
+
 void group_planner::FillMembers(group_record& group, const group_view& view) {
   // Members of an adopted group may register one after the other.
   if (view.epoch != group.epoch) return;
@@ -431,10 +438,15 @@
   formation_order order;
   order.action = formation_action::kProbe;
   order.target = id;
-  order.address = directory_->LastAddressOf(id);
+  order.address = AddressOf(id);
   orders_.push_back(std::move(order));
 }
 
+std::string group_planner::AddressOf(const backend_server_id& id) {
+  std::string address = directory_->LastAddressOf(id);
+  return address.empty() ? servers_[id].address : address;
+}
+
 bool group_planner::MaySend(const backend_server_id& target, formation_action action,
                             const server_group_id& group) {
   if (target.empty()) return false;
@@ -454,7 +466,7 @@
   formation_order order;
   order.action = action;
   order.target = target;
-  order.address = directory_->LastAddressOf(target);
+  order.address = AddressOf(target);
   order.group = group.id;
   order.epoch = group.epoch;
   order.model = group.model;
@@ -660,7 +672,8 @@
   free.erase(free.begin(), chosen_end);
   group.epoch = NextEpoch();
   group.model = model.name;
-  group.id = MakeGroupName({model.name, false, group.epoch});
+  const backend_server_id& head = group.members.front();
+  group.id = MakeGroupName({model.name, false, group.epoch, head, AddressOf(head)});
   group.phase_since = now_;
   const auto placed = groups_.emplace(group.id, std::move(group)).first;
   AdvanceForming(placed->second);
@@ -690,7 +703,7 @@
       group_record spare;
       spare.epoch = NextEpoch();
       spare.model = least->name;
-      spare.id = MakeGroupName({least->name, true, spare.epoch});
+      spare.id = MakeGroupName({least->name, true, spare.epoch, {}, {}});
       spare.members = {id};
       Order(id, formation_action::kJoin, spare);
       continue;
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -14,10 +14,12 @@
 
 std::vector<model_settings> TwoModels() { return {{"large", 6, 0.67}, {"small", 3, 0.33}}; }
 
-/// A small group that an earlier controller has joined and not opened.
-server_directory JoinedGroup(const server_group_id& group, std::uint64_t epoch, time_point now) {
+/// A small group that an earlier controller has joined and not opened; of its members those from
+/// `first_rank` on are registered, and as many free servers that need no loading besides.
+server_directory JoinedGroup(const server_group_id& group, std::uint64_t epoch, time_point now,
+                             std::uint32_t first_rank = 0) {
   server_directory directory;
-  for (std::uint32_t rank = 0; rank < 3; ++rank) {
+  for (std::uint32_t rank = first_rank; rank < 3 + first_rank; ++rank) {
     backend_server server;
     server.id = backend_server_id("s" + std::to_string(rank));
     server.service = service_id("pool");
@@ -26,7 +28,9 @@
     server.model = "small";
     server.born = 1;
     server.revision = 1;
-    server.membership = group_membership{group, epoch, rank, membership_state::kReady};
+    if (rank < 3) {
+      server.membership = group_membership{group, epoch, rank, membership_state::kReady};
+    }
     directory.Update(server, now);
   }
   return directory;
@@ -37,7 +41,7 @@
   // Late joins of the earlier controller would take members out of the open group.
   const time_point now{std::chrono::hours(1)};
   constexpr std::uint64_t epoch_floor = 2000;
-  const server_group_id group = MakeGroupName({"small", false, 47});
+  const server_group_id group = MakeGroupName({"small", false, 47, {}, {}});
   server_directory directory = JoinedGroup(group, 47, now);
   service_settings service;
   service.id = service_id("pool");
@@ -174,6 +178,40 @@
   CHECK(world.violations().empty());
 }
 
+TEST_CASE("a new controller frees the members of a group whose head it has never seen",
+          "[formation]") {
+  // All VMs lose power while the head is dead and its registration has lapsed.
+  const time_point start{std::chrono::hours(1)};
+  const backend_server_id head("s0");
+  const std::string head_address = "10.0.0.9:80";
+  const server_group_id group = MakeGroupName({"small", false, 47, head, head_address});
+  server_directory directory = JoinedGroup(group, 47, start, 1);
+  service_settings service;
+  service.id = service_id("pool");
+  service.models = {{"small", 3, 1.0}};
+  group_planner planner({});
+  planner.Reset(2000);
+  time_point now = start;
+  bool joined = false;
+  bool head_asked = false;
+  while (!joined && now - start < seconds(4)) {
+    now += milliseconds(60);
+    for (const formation_order& order : planner.Plan(service, directory, now)) {
+      if (order.action == formation_action::kJoin) joined = true;
+      if (order.action != formation_action::kProbe) continue;
+      const auto* known = directory.Find(order.target);
+      if (order.target == head) head_asked = head_asked || order.address == head_address;
+      if (known == nullptr) {
+        planner.RecordProbe(order.target, order_outcome::kNoAnswer, {}, now);
+      } else {
+        planner.RecordProbe(order.target, order_outcome::kAccepted, known->server.membership, now);
+      }
+    }
+  }
+  CHECK(head_asked);
+  CHECK(joined);
+}
+
 TEST_CASE("no group is partial and no server is in two groups, whatever is lost or late",
           "[formation][property]") {
   // Orders that are lost, late, repeated or reordered, members that die or are cut off at any
@@ -229,12 +267,20 @@
 }
 
 TEST_CASE("group names tell model and purpose", "[formation]") {
-  const server_group_id id = MakeGroupName({"a:b", true, 17});
+  const server_group_id id = MakeGroupName({"a:b", true, 17, {}, {}});
   const auto name = ParseGroupName(id);
   REQUIRE(name);
   CHECK(name->model == "a:b");
   CHECK(name->spare);
   CHECK(name->number == 17);
+  const auto serving =
+      ParseGroupName(MakeGroupName({"a@b:c", false, 18, backend_server_id("i-1"), "10.0.0.1:80"}));
+  REQUIRE(serving);
+  CHECK(serving->model == "a@b:c");
+  CHECK(serving->number == 18);
+  CHECK(serving->head == backend_server_id("i-1"));
+  CHECK(serving->head_address == "10.0.0.1:80");
+  CHECK(!ParseGroupName(server_group_id("serve:a:1@i-1")));
   CHECK(!ParseGroupName(server_group_id("g7")));
   CHECK(!ParseGroupName(server_group_id("serve:a:x")));
 }
--- a/tests/unit/server_directory_test.cc
+++ b/tests/unit/server_directory_test.cc
@@ -25,7 +25,7 @@
 backend_server Member(const std::string& id, std::uint32_t rank, membership_state state) {
   backend_server server = Server(id);
   server.model = "large";
-  server.membership = group_membership{MakeGroupName({"large", false, 4}), 4, rank, state};
+  server.membership = group_membership{MakeGroupName({"large", false, 4, {}, {}}), 4, rank, state};
   return server;
 }
 
--- a/tests/unit/server_selection_test.cc
+++ b/tests/unit/server_selection_test.cc
@@ -83,6 +83,30 @@
   CHECK(selection.Select(candidates, {}, now, failure)->server == candidates[1].server);
 }
 
+TEST_CASE("load pattern: single requests far apart also reach a group that was used long ago",
+          "[dispatch][load]") {
+  server_selection selection = Selection();
+  auto candidates = Candidates(2);
+  candidates[1].failure_domain = candidates[0].failure_domain;
+  std::map<backend_server_id, int> sent;
+  time_point now = kStart;
+  for (int i = 0; i < 20; ++i) {
+    now += kMs(3000);
+    selection_failure failure{};
+    const auto* chosen = selection.Select(candidates, {}, now, failure);
+    REQUIRE(chosen != nullptr);
+    ++sent[chosen->server];
+    server_load& load = selection.LoadOf(chosen->server);
+    load.RequestSent(now);
+    load.AnswerBegun(now, now, kMs(400));
+    // The more a group is used, the shorter its smoothed pause gets.
+    for (int event = 0; event < 20; ++event) load.EventArrived(now += kMs(20));
+    load.RequestEnded(true, false, now);
+  }
+  CHECK(sent[candidates[0].server] >= 3);
+  CHECK(sent[candidates[1].server] >= 3);
+}
+
 TEST_CASE("load pattern: a burst on one model is sent to no server beyond its window",
           "[dispatch][load]") {
   server_selection selection = Selection();
@@ -189,6 +213,34 @@
   CHECK(most < MostByToldLoads(63, 10, std::chrono::hours(1)));
 }
 
+/// Requests that `vms` VMs together send to one new group before any answer begins.
+std::size_t FirstRequests(std::size_t vms, std::size_t slots) {
+  const auto candidates = Candidates(1, slots);
+  std::size_t sent = 0;
+  for (std::size_t vm = 0; vm < vms; ++vm) {
+    server_selection selection = Selection(vm + 1);
+    work_parts parts;
+    parts.all = 2 * vms;
+    parts.held = {vm, vm + vms};
+    selection.SetParts(parts);
+    selection_failure failure{};
+    while (selection.Select(candidates, {}, kStart, failure) != nullptr) {
+      selection.LoadOf(candidates[0].server).RequestSent(kStart);
+      ++sent;
+    }
+    CHECK(failure == selection_failure::kAllFull);
+  }
+  return sent;
+}
+
+TEST_CASE("load pattern: all callers return at once to VMs that have just started",
+          "[dispatch][load]") {
+  // What a group cannot start waits there, for up to the answers of two whole batches.
+  CHECK(FirstRequests(63, 48) <= 2 * 48);
+  CHECK(FirstRequests(9, 26) <= 2 * 26);
+  CHECK(FirstRequests(9, 26) >= 26);
+}
+
 TEST_CASE("what other VMs have at a server counts only while it is recent", "[dispatch]") {
   server_load load;
   load.SetOthers(7, kStart);
