--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -13,7 +13,7 @@
 
 /// An entry VM ends by itself within this time after SIGTERM.
 constexpr milliseconds kStopLimit{8500};
-/// The entry VMs wait 2 s for answers of the store that are lost; more would only end the keys.
+/// Calls to the store that are carried out without an answer: about two of each entry VM's loops.
 constexpr std::uint64_t kLostAnswers = 5;
 
 struct path_fault {
