platform: make wakeable_pause a public header

Cause: the forwarder needs it, too; it was private to the entry module. Change: moved to include/waxwingwing/platform, no other change.

--- a/src/entry/formation_controller.h
+++ b/src/entry/formation_controller.h
@@ -6,7 +6,7 @@
 
 #include "entry/controller_election.h"
 #include "entry/entry_state.h"
-#include "entry/wakeable_pause.h"
+#include "waxwingwing/platform/wakeable_pause.h"
 #include "platform/order_client.h"
 #include "waxwingwing/formation/group_planner.h"
 
