forward: keep a silent server's stream until another one goes on with it

What callers saw: streams whose server was sound but silent for half a second ended without their last events; up to all streams of a group but one or two, in the same instant. Cause: a stream was moved by closing its connection first and selecting another server then. That another server had room was checked for each stream, but no place was reserved, so that all streams of a silent group counted on the same place; the others ended with all_full. Streams that the second server refused, or that could not reach it, ended as well. Change: the request is sent to a second server while the first connection stays open; the first to send an event answers on, the other is closed. A request counts as load of its server from when it is planned. The same holds for an idempotent request whose answer is late. Ruled out: reserving a place only (the second server may still refuse); waiting longer before moving (callers leave after 2 s). After a review: a second server's failure does not end the first one's stream; a second server that is no longer wanted gets nothing and is not blamed.

--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -1,6 +1,8 @@
 #include "forward/forward_call.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/beast/http/status.hpp>
 #include <cctype>
 #include <utility>
@@ -44,6 +46,21 @@
 
 std::string_view PathOf(std::string_view target) { return target.substr(0, target.find('?')); }
 
+/// Whether the response is the server's own, as the server sent it.
+bool IsUnaltered(const server_response& response) {
+  const response_metadata& metadata = response.metadata;
+  return metadata.authentic && !metadata.encoded && !metadata.id.empty();
+}
+
+/// Whether callers interpret the status as "not run".
+bool ImpliesNotRun(unsigned status) { return status == 408 || status == 429 || status == 503; }
+
+/// Whether a complete exchange ended with the server's statement that it has not run the request.
+bool IsRefused(const server_exchange& exchange, exchange_outcome outcome) {
+  const response_metadata& metadata = exchange.response().metadata;
+  return outcome == exchange_outcome::kComplete && (metadata.not_executed || metadata.wrong_server);
+}
+
 }  // namespace
 
 const std::array<forward_call::filter, 6> forward_call::kFilters = {
@@ -59,7 +76,8 @@
       channel_(channel),
       request_(std::move(request)),
       arrived_at_(core.Now()),
-      configuration_(core.configuration) {}
+      configuration_(core.configuration),
+      standby_ended_(core.context) {}
 
 forward_call::~forward_call() { channel_.StopWatching(); }
 
@@ -72,7 +90,7 @@
   }
   channel_.Watch([this] {
     caller_left_ = true;
-    if (exchange_ != nullptr) exchange_->Abort(exchange_abort::kCallerLeft);
+    AbortExchanges(exchange_abort::kCallerLeft);
   });
   co_await Forward();
   channel_.StopWatching();
@@ -149,18 +167,110 @@
       FailUnselected();
       co_return;
     }
-    server_ = *selected;
-    tried_.insert(server_.server);
-    ++sends_;
-    server_exchange exchange(core_, PlanExchange(server_), *this);
-    exchange_ = &exchange;
-    const scope_guard forget([this] { exchange_ = nullptr; });
-    const exchange_outcome end = co_await exchange.Run();
-    const bool done = EvaluateExchange(exchange, end);
+    exchange_ = MakeExchange(*selected);
+    server_ = exchange_->target();
+    exchange_outcome end = co_await exchange_->Run();
+    if (standby_) end = co_await JoinStandby(end);
+    const bool done = EvaluateExchange(*exchange_, end);
+    exchange_.reset();
     if (done) co_return;
   }
 }
 
+std::unique_ptr<server_exchange> forward_call::MakeExchange(const dispatch_candidate& server) {
+  tried_.insert(server.server);
+  ++sends_;
+  return std::make_unique<server_exchange>(core_, PlanExchange(server), *this);
+}
+
+void forward_call::AbortExchanges(exchange_abort reason) {
+  if (exchange_) exchange_->Abort(reason);
+  if (standby_) standby_->Abort(reason);
+}
+
+bool forward_call::TryReserveStandby() {
+  if (!route_->MayRepeat() || possible_runs_ + 1 >= route_->max_attempts) return false;
+  if (sends_ >= core_.options.max_sends || TimeLeft(core_.Now()) < kMinTimeLeft) return false;
+  return TryReserveRetry();
+}
+
+void forward_call::OnNoProgress(const server_exchange& exchange, exchange_abort reason) {
+  if (&exchange != exchange_.get() || standby_ || awaits_standby_) return;
+  if (!TryReserveStandby()) return;
+  const dispatch_candidate* selected = SelectServer();
+  if (selected == nullptr) return;
+  if (exchange.last_event()) last_event_ = exchange.last_event();
+  standby_ = MakeExchange(*selected);
+  standby_reason_ = reason;
+  standby_outcome_.reset();
+  standby_took_over_ = false;
+  asio::co_spawn(core_.context, RunStandby(), asio::detached);
+}
+
+awaitable<void> forward_call::RunStandby() {
+  const exchange_outcome end = co_await standby_->Run();
+  standby_outcome_ = end;
+  const bool aborted = standby_->abort_reason() != exchange_abort::kNone;
+  if (!standby_took_over_ && !aborted && IsAnswer(*standby_, end)) TakeOver();
+  if (standby_took_over_ || awaits_standby_) {
+    standby_ended_.Wake();
+  } else {
+    DiscardStandby();
+  }
+}
+
+bool forward_call::IsAnswer(const server_exchange& exchange, exchange_outcome outcome) const {
+  if (outcome != exchange_outcome::kComplete || IsRefused(exchange, outcome)) return false;
+  if (exchange.passes_events()) return true;
+  return !head_sent_ && exchange.response().status < 500 && IsUnaltered(exchange.response()) &&
+         !ImpliesNotRun(exchange.response().status);
+}
+
+void forward_call::TakeOver() {
+  standby_took_over_ = true;
+  exchange_->Abort(standby_reason_);
+  core_.metrics.Counter("waxwingwing_retries_total", {{"reason", NameOf(standby_reason_)}})
+      .Increment();
+  core_.log.Write("request_moved", {{"request", request_metadata_.id.str()},
+                                    {"from", exchange_->target().server.str()},
+                                    {"to", standby_->target().server.str()},
+                                    {"reason", NameOf(standby_reason_)},
+                                    {"last_event", last_event_.value_or(0)},
+                                    {"age_ms", core_.Now() - arrived_at_}});
+}
+
+void forward_call::DiscardStandby() {
+  const bool refused = IsRefused(*standby_, *standby_outcome_);
+  if (refused) RecordNotExecuted(*standby_);
+  if (!refused && *standby_outcome_ != exchange_outcome::kNotSent) ++possible_runs_;
+  core_.log.Write("standby_discarded", {{"request", request_metadata_.id.str()},
+                                        {"server", standby_->target().server.str()},
+                                        {"reason", NameOf(standby_reason_)},
+                                        {"abort", NameOf(standby_->abort_reason())},
+                                        {"status", standby_->response().status},
+                                        {"failure", standby_->failure()},
+                                        {"age_ms", core_.Now() - arrived_at_}});
+  standby_.reset();
+}
+
+awaitable<exchange_outcome> forward_call::JoinStandby(exchange_outcome current) {
+  awaits_standby_ = true;
+  const scope_guard joined([this] { awaits_standby_ = false; });
+  const bool is_answered = IsAnswer(*exchange_, current);
+  if (is_answered && !standby_took_over_) standby_->Abort(exchange_abort::kSuperseded);
+  while (!standby_outcome_) co_await standby_ended_.Wait(core_.options.check_interval);
+  if (!standby_took_over_) {
+    DiscardStandby();
+    co_return current;
+  }
+  const bool refused = IsRefused(*exchange_, current);
+  if (refused) RecordNotExecuted(*exchange_);
+  if (!refused && current != exchange_outcome::kNotSent) ++possible_runs_;
+  exchange_ = std::move(standby_);
+  server_ = exchange_->target();
+  co_return *standby_outcome_;
+}
+
 const dispatch_candidate* forward_call::SelectServer() {
   if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return nullptr;
   const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
@@ -218,14 +328,6 @@
   return plan;
 }
 
-bool forward_call::TryReserveMigration() {
-  if (!route_->MayRepeat() || possible_runs_ + 1 >= route_->max_attempts) return false;
-  if (sends_ >= core_.options.max_sends) return false;
-  const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
-  if (!core_.selection.CanSelect(candidates, tried_, core_.Now())) return false;
-  return core_.retries.TryTake(service_);
-}
-
 bool forward_call::MayResend(bool may_have_run) const {
   if (sends_ >= core_.options.max_sends) return false;
   if (!may_have_run) return true;
@@ -249,26 +351,19 @@
 
 bool forward_call::EvaluateResponse(server_exchange& exchange) {
   server_response& response = exchange.response();
-  if (response.metadata.not_executed || response.metadata.wrong_server) {
-    return HandleNotExecuted(response, server_);
-  }
+  if (IsRefused(exchange, exchange_outcome::kComplete)) return HandleNotExecuted(exchange);
   ++possible_runs_;
   if (exchange.passes_events()) {
-    if (!head_sent_) OnEvents(response, {});
+    channel_.Send(StartStream(response));
     EndStream();
     return true;
   }
   const bool success = response.status >= 200 && response.status < 300;
-  const bool unaltered =
-      response.metadata.authentic && !response.metadata.encoded && !response.metadata.id.empty();
-  if (success && !unaltered) {
+  if (success && !IsUnaltered(response)) {
     last_failure_ = "not an authentic, unaltered response of the backend server";
     return HandleBrokenExchange(exchange_abort::kNone);
   }
-  const bool implies_not_run =
-      response.status == 408 || response.status == 429 || response.status == 503;
-  if (implies_not_run && route_->repeat != repeat_rule::kIdempotent) {
-    // Callers interpret these statuses as "not run", which the server has not stated.
+  if (ImpliesNotRun(response.status) && route_->repeat != repeat_rule::kIdempotent) {
     last_failure_ = "the refusal does not state that the request was not executed";
     return HandleBrokenExchange(exchange_abort::kNone);
   }
@@ -285,18 +380,24 @@
   return true;
 }
 
-bool forward_call::HandleNotExecuted(const server_response& response,
-                                     const dispatch_candidate& server) {
+const char* forward_call::RecordNotExecuted(const server_exchange& exchange) {
   const time_point now = core_.Now();
-  const bool member_blamed = !response.metadata.blamed.empty() && !server.group.empty();
-  const bool wrong_target = response.metadata.wrong_server || member_blamed;
-  core_.selection.LoadOf(server.server)
-      .Suspend(now + (wrong_target ? core_.options.suspension : core_.options.full_suspension));
+  const response_metadata& metadata = exchange.response().metadata;
+  const dispatch_candidate& server = exchange.target();
+  const bool member_blamed = !metadata.blamed.empty() && !server.group.empty();
+  const bool wrong_target = metadata.wrong_server || member_blamed;
+  server_load& load = core_.selection.LoadOf(server.server);
+  load.Suspend(now + (wrong_target ? core_.options.suspension : core_.options.full_suspension));
   if (wrong_target) core_.hooks.OnDirectoryMismatch();
   if (member_blamed) core_.ReportStall(server, "server_blames_member", duration::zero());
-  if (!wrong_target) core_.selection.LoadOf(server.server).RecordCongestion(now);
+  if (!wrong_target) load.RecordCongestion(now);
   const char* reason = wrong_target ? "wrong_server" : "server_full";
   core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
+  return reason;
+}
+
+bool forward_call::HandleNotExecuted(const server_exchange& exchange) {
+  const char* reason = RecordNotExecuted(exchange);
   if (MayResend(false) && core_.retries.TryTake(service_)) return false;
   FailRequest(502, reason);
   return true;
@@ -318,37 +419,38 @@
     FailRequest(504, "deadline");
     return true;
   }
-  // An exchange that was aborted for a time limit or a stall has already consumed its retry.
-  const bool moved = abort_reason != exchange_abort::kNone;
-  const char* reason = moved ? NameOf(abort_reason) : "broken";
-  if (MayResend(true) && (moved || TryReserveRetry())) {
-    core_.metrics.Counter("waxwingwing_retries_total", {{"reason", reason}}).Increment();
+  if (MayResend(true) && TryReserveRetry()) {
+    core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "broken"}}).Increment();
     core_.log.Write("request_moved", {{"request", request_metadata_.id.str()},
                                       {"from", server_.server.str()},
-                                      {"reason", reason},
+                                      {"reason", "broken"},
                                       {"failure", last_failure_},
                                       {"last_event", last_event_.value_or(0)},
                                       {"age_ms", core_.Now() - arrived_at_}});
     return false;
   }
-  FailRequest(502, reason);
+  FailRequest(502, "broken");
   return true;
 }
 
 bool forward_call::Closes() const { return core_.shutting_down || !request_.keep_alive; }
 
-void forward_call::OnEvents(const server_response& response, std::string_view events) {
-  std::string bytes;
-  if (!head_sent_) {
-    head_sent_ = true;
-    first_event_after_ = core_.Now() - arrived_at_;
-    http_fields fields = response.fields;
-    RemoveConnectionFields(fields);
-    bytes = WriteResponseHead(response.status, response.reason, fields, std::nullopt, !Closes());
-    if (Closes()) keeps_connection_ = false;
-  }
-  if (!events.empty()) bytes += WriteChunk(events);
-  channel_.Send(std::move(bytes));
+void forward_call::OnEvents(const server_exchange& exchange, std::string_view events) {
+  const bool from_standby = &exchange == standby_.get();
+  if (from_standby && !standby_took_over_) TakeOver();
+  if (!from_standby && standby_) standby_->Abort(exchange_abort::kSuperseded);
+  // One write, since each costs a system call.
+  channel_.Send(StartStream(exchange.response()) + WriteChunk(events));
+}
+
+std::string forward_call::StartStream(const server_response& response) {
+  if (head_sent_) return {};
+  head_sent_ = true;
+  first_event_after_ = core_.Now() - arrived_at_;
+  if (Closes()) keeps_connection_ = false;
+  http_fields fields = response.fields;
+  RemoveConnectionFields(fields);
+  return WriteResponseHead(response.status, response.reason, fields, std::nullopt, !Closes());
 }
 
 awaitable<bool> forward_call::WaitForCaller() {
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -11,6 +11,7 @@
 #include "forward/forward_core.h"
 #include "forward/server_exchange.h"
 #include "waxwingwing/forward/call_refusal.h"
+#include "waxwingwing/platform/wakeable_pause.h"
 
 namespace waxwingwing {
 
@@ -28,7 +29,10 @@
 /// The route decides which requests may be retried. A request that must run at most once is sent to
 /// another server only while it is certain that no server has run it; a response that says "not
 /// run" is sent under the same condition.
-class forward_call final : public event_receiver {
+///
+/// While a server makes no progress, the request is sent to a second one as well, and the first to
+/// go on answers it: a server may be silent for a while and yet be sound.
+class forward_call final : public exchange_receiver {
  public:
   forward_call(forward_core& core, caller_channel& channel, caller_request request);
   ~forward_call() override;
@@ -38,9 +42,9 @@
   /// Whether the caller's connection can be used for another request.
   bool keeps_connection() const { return keeps_connection_; }
 
-  void OnEvents(const server_response& response, std::string_view events) override;
+  void OnEvents(const server_exchange& exchange, std::string_view events) override;
   awaitable<bool> WaitForCaller() override;
-  bool TryReserveMigration() override;
+  void OnNoProgress(const server_exchange& exchange, exchange_abort reason) override;
 
  private:
   using filter = std::optional<call_refusal> (forward_call::*)();
@@ -60,15 +64,37 @@
   /// Ends a request for which no server could be selected.
   void FailUnselected();
   exchange_plan PlanExchange(const dispatch_candidate& server) const;
+  /// Creates the exchange with a selected server, which is not selected for this request again.
+  std::unique_ptr<server_exchange> MakeExchange(const dispatch_candidate& server);
+  void AbortExchanges(exchange_abort reason);
+
+  /// Whether the request may be sent to a second server while the first may still answer; if so,
+  /// consumes a retry from the budget.
+  bool TryReserveStandby();
+  awaitable<void> RunStandby();
+  /// Whether a finished exchange answers the request, so that no other server need be asked.
+  bool IsAnswer(const server_exchange& exchange, exchange_outcome outcome) const;
+  /// Ends the exchange that made no progress, because the standby has gone on in its place.
+  void TakeOver();
+  /// Records a standby that ended without taking over.
+  void DiscardStandby();
+  /// After the end of the current exchange: waits for the end of the standby, makes it the current
+  /// exchange when it has taken over, and returns the outcome of the current exchange.
+  awaitable<exchange_outcome> JoinStandby(exchange_outcome current);
+
   /// Evaluates a finished exchange; returns false when the request is to be sent to another server.
   bool EvaluateExchange(server_exchange& exchange, exchange_outcome end);
   bool EvaluateResponse(server_exchange& exchange);
-  bool HandleNotExecuted(const server_response& response, const dispatch_candidate& server);
+  /// Records a server's statement that it has not run the request; returns the reason.
+  const char* RecordNotExecuted(const server_exchange& exchange);
+  bool HandleNotExecuted(const server_exchange& exchange);
   bool HandleBrokenExchange(exchange_abort abort_reason);
   /// Whether another server can take the request; if so, consumes a retry from the budget.
   bool TryReserveRetry();
   /// Whether the limits on sends and attempts allow the request to be sent again.
   bool MayResend(bool may_have_run) const;
+  /// Returns the head of the response to the caller, or nothing when it was sent before.
+  std::string StartStream(const server_response& response);
   void ForwardResponse(server_response& response);
   void EndStream();
   void Refuse(const call_refusal& refusal);
@@ -93,7 +119,15 @@
   const caller_organisation* organisation_ = nullptr;
   service_id service_;
 
-  server_exchange* exchange_ = nullptr;
+  std::unique_ptr<server_exchange> exchange_;
+  /// Exchange with a second server, started because the current one makes no progress.
+  std::unique_ptr<server_exchange> standby_;
+  exchange_abort standby_reason_ = exchange_abort::kNone;
+  std::optional<exchange_outcome> standby_outcome_;
+  bool standby_took_over_ = false;
+  /// Whether the current exchange has ended, so that the outcome of the standby is awaited.
+  bool awaits_standby_ = false;
+  wakeable_pause standby_ended_;
   dispatch_candidate server_;
   std::set<backend_server_id> tried_;
   selection_failure selection_failure_ = selection_failure::kNone;
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -22,12 +22,13 @@
 }  // namespace
 
 const char* NameOf(exchange_abort abort_reason) {
-  static constexpr std::array kNames = {"none",          "caller_left", "deadline",
-                                        "connect_limit", "first_limit", "stall"};
+  static constexpr std::array kNames = {"none",        "caller_left", "deadline",  "connect_limit",
+                                        "first_limit", "stall",       "superseded"};
   return kNames.at(static_cast<std::size_t>(abort_reason));
 }
 
-server_exchange::server_exchange(forward_core& core, exchange_plan plan, event_receiver& receiver)
+server_exchange::server_exchange(forward_core& core, exchange_plan plan,
+                                 exchange_receiver& receiver)
     : core_(core),
       plan_(std::move(plan)),
       receiver_(receiver),
@@ -35,6 +36,7 @@
       started_at_(core.Now()) {
   if (plan_.last_event) splitter_.ContinueAfter(*plan_.last_event);
   core_.exchanges.insert(this);
+  core_.selection.LoadOf(plan_.target.server).RequestSent(started_at_);
 }
 
 server_exchange::~server_exchange() { core_.exchanges.erase(this); }
@@ -53,7 +55,6 @@
 
 awaitable<exchange_outcome> server_exchange::Run() {
   server_load& load = core_.selection.LoadOf(plan_.target.server);
-  load.RequestSent(started_at_);
   exchange_outcome end = exchange_outcome::kNotSent;
   const bool connected = co_await Connect();
   if (connected) end = co_await Send();
@@ -61,17 +62,22 @@
       end != exchange_outcome::kNotSent) {
     end = exchange_outcome::kAborted;
   }
-  const bool failed =
-      end == exchange_outcome::kBroken ||
-      (end == exchange_outcome::kNotSent && abort_reason_ != exchange_abort::kCallerLeft) ||
-      abort_reason_ == exchange_abort::kFirstLimit;
+  const bool failed = end == exchange_outcome::kBroken ||
+                      (end == exchange_outcome::kNotSent && IsServerAtFault()) ||
+                      abort_reason_ == exchange_abort::kFirstLimit;
   load.RequestEnded(response_started_, failed, core_.Now());
+  core_.exchanges.erase(this);
   if (end == exchange_outcome::kComplete) Finish();
   connection_.reset();
   co_return end;
 }
 
+bool server_exchange::IsServerAtFault() const {
+  return abort_reason_ == exchange_abort::kNone || abort_reason_ == exchange_abort::kConnectLimit;
+}
+
 awaitable<bool> server_exchange::Connect() {
+  if (abort_reason_ != exchange_abort::kNone) co_return false;
   connection_ = core_.pool.Take(plan_.target.address, started_at_);
   if (connection_) co_return true;
   const auto endpoint = ParseIpEndpoint(plan_.target.address);
@@ -88,6 +94,7 @@
     co_return true;
   }
   RecordFailure("connecting", error);
+  if (!IsServerAtFault()) co_return false;
   core_.pool.Drop(plan_.target.address);
   core_.selection.LoadOf(plan_.target.server).Suspend(core_.Now() + core_.options.suspension);
   co_return false;
@@ -198,7 +205,7 @@
   if (!events.empty()) {
     if (!response_started_) RecordResponseStart();
     core_.selection.LoadOf(plan_.target.server).EventArrived(core_.Now());
-    receiver_.OnEvents(response_, events);
+    receiver_.OnEvents(*this, events);
   }
   if (verdict == event_splitter::verdict::kOk) return true;
   failure_ = verdict == event_splitter::verdict::kTooLarge ? "an event is too large"
@@ -230,9 +237,8 @@
     congestion_noted_ = true;
     load.RecordCongestion(now);
   }
-  if (!response_started_ && now - *sent_at_ > plan_.first_limit && IsStuck(now, load) &&
-      receiver_.TryReserveMigration()) {
-    return Abort(exchange_abort::kFirstLimit);
+  if (!response_started_ && now - *sent_at_ > plan_.first_limit && IsStuck(now, load)) {
+    receiver_.OnNoProgress(*this, exchange_abort::kFirstLimit);
   }
   if (plan_.stream) CheckStall(now, load);
 }
@@ -259,9 +265,9 @@
     core_.ReportStall(plan_.target, streams_silent ? "streams_silent" : "nothing_begins",
                       streams_silent ? silence : now - *sent_at_);
   }
-  const bool should_migrate =
-      streams_silent && silence > std::max<duration>(core_.options.migration_limit, limit);
-  if (should_migrate && receiver_.TryReserveMigration()) Abort(exchange_abort::kStall);
+  if (streams_silent && silence > std::max<duration>(core_.options.migration_limit, limit)) {
+    receiver_.OnNoProgress(*this, exchange_abort::kStall);
+  }
 }
 
 }  // namespace waxwingwing
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -41,17 +41,34 @@
   time_point deadline{};
 };
 
-/// Receives the events of a stream and decides whether the stream may migrate.
-class event_receiver {
+enum class exchange_abort {
+  kNone,
+  kCallerLeft,
+  kDeadline,
+  kConnectLimit,
+  /// Another server answered a request for which this one had not begun an answer in time.
+  kFirstLimit,
+  /// Another server resumed a stream on which this one had fallen silent.
+  kStall,
+  /// The server that the exchange was to replace went on by itself.
+  kSuperseded,
+};
+
+const char* NameOf(exchange_abort abort_reason);
+
+class server_exchange;
+
+/// Receives the events of exchanges and learns which of them make no progress.
+class exchange_receiver {
  public:
-  virtual ~event_receiver() = default;
-  /// Receives complete events that directly follow the earlier ones; `response` holds the status
-  /// and headers of the response that they belong to.
-  virtual void OnEvents(const server_response& response, std::string_view events) = 0;
+  virtual ~exchange_receiver() = default;
+  /// Receives complete events of the exchange that directly follow its earlier ones.
+  virtual void OnEvents(const server_exchange& exchange, std::string_view events) = 0;
   /// Waits while the caller reads too slowly; returns false when it has disconnected.
   virtual awaitable<bool> WaitForCaller() = 0;
-  /// Whether the request may move to another server now; if so, consumes a retry from the budget.
-  virtual bool TryReserveMigration() = 0;
+  /// Called at each check while the exchange makes no progress, so that the request may be sent to
+  /// another server, too. `reason`: kFirstLimit or kStall.
+  virtual void OnNoProgress(const server_exchange& exchange, exchange_abort reason) = 0;
 };
 
 enum class exchange_outcome {
@@ -65,17 +82,13 @@
   kAborted,
 };
 
-enum class exchange_abort { kNone, kCallerLeft, kDeadline, kConnectLimit, kFirstLimit, kStall };
-
-const char* NameOf(exchange_abort abort_reason);
-
 /// Sends one request to one backend server, from connecting to the end of the response.
 ///
-/// `Check` must be called periodically to enforce the time limits. `receiver` must outlive the
-/// exchange.
+/// Counts as a request at the server from its construction until the end of `Run`. `Check` must be
+/// called periodically to enforce the time limits. `receiver` must outlive the exchange.
 class server_exchange {
  public:
-  server_exchange(forward_core& core, exchange_plan plan, event_receiver& receiver);
+  server_exchange(forward_core& core, exchange_plan plan, exchange_receiver& receiver);
   ~server_exchange();
   server_exchange(const server_exchange&) = delete;
   server_exchange& operator=(const server_exchange&) = delete;
@@ -88,6 +101,7 @@
 
   const server_response& response() const { return response_; }
   server_response& response() { return response_; }
+  const dispatch_candidate& target() const { return plan_.target; }
   exchange_abort abort_reason() const { return abort_reason_; }
   const std::string& failure() const { return failure_; }
   bool response_started() const { return response_started_; }
@@ -100,6 +114,9 @@
   using parser_type = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
   awaitable<bool> Connect();
+  /// Whether a request that could not be sent shows a fault of the server, rather than that this VM
+  /// no longer wanted to send it.
+  bool IsServerAtFault() const;
   awaitable<exchange_outcome> Send();
   awaitable<bool> ReadHead();
   awaitable<bool> ReadBody();
@@ -114,7 +131,7 @@
 
   forward_core& core_;
   const exchange_plan plan_;
-  event_receiver& receiver_;
+  exchange_receiver& receiver_;
   std::unique_ptr<server_connection> connection_;
   std::optional<parser_type> parser_;
   event_splitter splitter_;
