formation: do not dissolve a group whose member is silent for a second

What callers saw: all streams of a sound group ended when one of its servers did not answer for a moment. Cause: after a stall report, one probe without an answer within 220 ms made a registered member count as lost while others answered; the head was ordered to leave, which ends its streams at once. The time since a server's first unanswered probe also survived from earlier suspicions. Change: a member that does not answer counts as lost after 800 ms of unanswered probes; a refused connection counts at once, as before. Ruled out: a longer time would exceed the time within which a spare must replace a lost member (group_planner_test).

--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -49,6 +49,10 @@
   milliseconds probe_interval{250};
   /// Interval between probes of a registered server that did not answer.
   milliseconds unanswered_probe_interval{1000};
+  /// How long a member of a suspected group must leave probes unanswered to count as lost. Sound
+  /// servers may be silent for a second, and a stall is reported some hundred ms after it began. A
+  /// refusal shows a failure at once.
+  milliseconds silent_member_time{800};
   /// How long a group is suspected after a stall report; a stalled group breaks after 6 s.
   milliseconds suspicion_time{1500};
   /// An unregistered head is considered failed when it leaves `failed_head_probes` probes
@@ -146,6 +150,8 @@
     /// Probes without an answer since the last answer.
     std::uint32_t unanswered_probes = 0;
     std::optional<time_point> unanswered_since;
+    /// Whether the last probe was refused, by the server or for lack of one at its address.
+    bool refuses = false;
     /// Membership that the last answered probe returned, and the time of that answer.
     std::optional<group_membership> probed_membership;
     std::optional<time_point> answered_at;
@@ -184,6 +190,8 @@
   void StartReleasing(group_record& group);
   member_condition ConditionOfMember(const group_record& group, std::size_t rank);
   bool IsSuspected(const group_record& group) const;
+  /// Whether unanswered probes of a registered member are conclusive.
+  bool IsSilentForLong(const server_record& server) const;
   /// Whether a member answered after `since`, which shows that the group is reachable.
   bool HasAnsweredSince(const group_record& group, time_point since);
   void Probe(const backend_server_id& id);
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -94,6 +94,7 @@
     return;
   }
   server.unanswered_since = server.unanswered_since.value_or(now);
+  server.refuses = outcome != order_outcome::kNoAnswer;
   // A refused connection does not prove a failure either: during a partition, something else on the
   // path may refuse it.
   ++server.unanswered_probes;
@@ -106,6 +107,7 @@
   if (!group.suspected_until || *group.suspected_until < now) {
     for (const backend_server_id& member : group.members) {
       servers_[member].unanswered_probes = 0;
+      servers_[member].unanswered_since.reset();
       servers_[member].answered_at.reset();
       servers_[member].probed_at.reset();
     }
@@ -280,6 +282,11 @@
   });
 }
 
+bool group_planner::IsSilentForLong(const server_record& server) const {
+  if (server.unanswered_probes == 0) return false;
+  return server.refuses || now_ - *server.unanswered_since >= options_.silent_member_time;
+}
+
 group_planner::member_condition group_planner::ConditionOfMember(const group_record& group,
                                                                  std::size_t rank) {
   const backend_server_id& id = group.members[rank];
@@ -294,8 +301,7 @@
   const bool silent = server.unanswered_since && HasAnsweredSince(group, *server.unanswered_since);
   if (known != nullptr) {
     if (!HoldsMembership(group, id)) return member_condition::kLost;
-    if (IsSuspected(group) && server.unanswered_probes >= 1 && silent)
-      return member_condition::kLost;
+    if (IsSuspected(group) && silent && IsSilentForLong(server)) return member_condition::kLost;
     return known->server.draining ? member_condition::kDraining : member_condition::kPresent;
   }
   // No longer registered: it may be partitioned from the VM list service and still work.
--- a/tests/integration/entry_silence_test.cc
+++ b/tests/integration/entry_silence_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "tests/integration/entry_deployment.h"
+#include "tests/integration/platform_processes.h"
 #include "tests/integration/wait_for.h"
 
 namespace waxwingwing::integration {
@@ -88,5 +89,38 @@
   CHECK(!deployment.LogLines("standby_discarded").empty());
 }
 
+// Guards against dissolving a sound group, which ends its streams, after a
+// short silence of its head.
+TEST_CASE(
+    "entry: a head that answers nothing for a second keeps its group and "
+    "its streams",
+    "[entry]") {
+  entry_deployment deployment({.runners = 6, .events = kEvents, .proxies = true});
+  deployment.WaitUntilServing();
+  stream_callers callers(deployment, kCallers);
+  Sleep(milliseconds(400));
+  const auto leaves = [&] {
+    const auto orders = deployment.LogLines("order_sent");
+    return std::count_if(orders.begin(), orders.end(),
+                         [](const auto &line) { return line["action"] == "leave"; });
+  };
+  const auto leaves_before = leaves();
+  const auto &runners = deployment.runners();
+  const child_process *process = &deployment.Head();
+  const auto head = std::find_if(runners.begin(), runners.end(),
+                                 [&](const auto &runner) { return runner.get() == process; });
+  // The server goes on registering in the store.
+  child_process &proxy = deployment.ProxyOf("runner-" + std::to_string(head - runners.begin()));
+  SetFaults(proxy, {{"freeze_from_target", true}});
+  Sleep(milliseconds(1000));
+  SetFaults(proxy, {{"freeze_from_target", false}});
+  CHECK(callers.Join() == std::vector<std::size_t>(kCallers, kEvents));
+  CHECK(leaves() == leaves_before);
+  const auto orders = deployment.LogLines("order_sent");
+  CHECK(std::any_of(orders.begin(), orders.end(), [](const auto &line) {
+    return line["action"] == "probe" && line["outcome"] == "no_answer";
+  }));
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -94,6 +94,24 @@
   CHECK(simulation.violations().empty());
 }
 
+// Guards against dissolving a sound group, which ends its streams, because a member did not answer
+// one probe.
+TEST_CASE("a group keeps a member or a head that is silent for a second", "[formation]") {
+  for (const std::size_t rank : {0, 3}) {
+    formation_simulation simulation(TwoModels(), 1, 11, 2);
+    simulation.Run(seconds(60));
+    const auto members = simulation.MembersOfGroup("large");
+    const server_group_id group = simulation.GroupOf(members[0]);
+    simulation.Silence(members[rank], milliseconds(1000));
+    simulation.Run(milliseconds(300));
+    simulation.ReportStall(group);
+    simulation.Run(seconds(3));
+    CAPTURE(rank);
+    CHECK(simulation.GroupOf(members[0]) == group);
+    CHECK(simulation.ServingGroups()["large"] == 1);
+  }
+}
+
 TEST_CASE("a stall report about a group whose members all answer changes nothing", "[formation]") {
   formation_simulation simulation(TwoModels(), 1, 11, 3);
   simulation.Run(seconds(40));
--- a/tests/unit/support/formation_simulation.cc
+++ b/tests/unit/support/formation_simulation.cc
@@ -89,6 +89,10 @@
   servers_[id].dirty = true;
 }
 
+void formation_simulation::Silence(const backend_server_id& id, duration time) {
+  servers_[id].silent_until = now_ + time;
+}
+
 void formation_simulation::PartitionFromList(const backend_server_id& id, duration time) {
   simulated_server& server = servers_[id];
   server.list_partition_until = now_ + time;
@@ -233,7 +237,7 @@
       continue;
     }
     const simulated_server& target = servers_.at(pending.order.target);
-    const bool reached = target.alive && !IsPartitioned(target);
+    const bool reached = target.alive && !IsPartitioned(target) && now_ >= target.silent_until;
     // During a partition, something on the path may refuse connections to a running server, as the
     // VM of a failed server does.
     const order_outcome failed =
--- a/tests/unit/support/formation_simulation.h
+++ b/tests/unit/support/formation_simulation.h
@@ -53,6 +53,8 @@
   void CrashPermanently(const backend_server_id& id);
   /// Marks a server as draining in its registration.
   void Drain(const backend_server_id& id);
+  /// Makes a server answer nothing for `time`; it is sound and goes on afterwards.
+  void Silence(const backend_server_id& id, duration time);
   void PartitionFromList(const backend_server_id& id, duration time);
   void PartitionFabric(const fabric_domain_id& fabric, duration time);
   /// Replaces the controller; orders of the old one that are in flight still arrive.
@@ -83,6 +85,7 @@
     std::optional<time_point> list_partition_until;
     std::optional<time_point> unregistered_at;
     std::optional<time_point> restart_at;
+    time_point silent_until{};
     std::optional<time_point> closed_at;
     bool dirty = true;
   };
