forward: answer a request that arrives while its kept connection is closed

What callers saw: a whole request on a kept connection got neither an answer nor a refusal when the VM stopped, or when the connection reached its idle limit at that moment; a call that may run once cannot be repeated then. Cause: idle connections were closed by the session's state. With an earlier wait for the caller's disconnection pending on the same socket, the read of the next request completes one turn of the event loop later; in between the request's bytes are in memory, and neither the state nor the socket shows them. At the idle limit, unread bytes were not looked at at all. Change: closing an idle connection cancels the session's wait. A read that has taken bytes is not cancelled, and a cancelled wait goes on when bytes have arrived. Result: the test passes; idle connections are still closed (second test). After a review: reading a head or a body that exceeds its time limit is cancelled in the same way and answered with 408, instead of a closed connection.

--- a/src/forward/call_session.cc
+++ b/src/forward/call_session.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "forward/http_text.h"
+#include "waxwingwing/core/scope_guard.h"
 
 namespace waxwingwing {
 namespace {
@@ -20,6 +21,8 @@
 unsigned StatusOf(const error_code& error) {
   if (error == http::error::header_limit) return 431;
   if (error == http::error::body_limit) return 413;
+  // The read was cancelled when its time limit had passed.
+  if (error == asio::error::operation_aborted) return 408;
   return 400;
 }
 
@@ -58,14 +61,21 @@
 awaitable<bool> call_session::WaitForRequest() {
   if (channel_->buffer().size() > 0) co_return true;
   idle_ = true;
+  const scope_guard busy([this] { idle_ = false; });
   expires_at_ = core_.Now() + Limits().idle_timeout;
   error_code error;
-  const auto space = channel_->buffer().prepare(kFirstReadSize);
-  const std::size_t size = co_await channel_->socket().async_read_some(space, StoreError(error));
-  idle_ = false;
-  if (error) co_return false;
-  channel_->buffer().commit(size);
-  co_return true;
+  do {
+    const auto space = channel_->buffer().prepare(kFirstReadSize);
+    const std::size_t size = co_await channel_->socket().async_read_some(space, StoreError(error));
+    channel_->buffer().commit(size);
+    // A wait that was cancelled must not discard a request that has arrived meanwhile.
+  } while (error == asio::error::operation_aborted && HasUnreadBytes());
+  co_return !error;
+}
+
+bool call_session::HasUnreadBytes() const {
+  error_code error;
+  return channel_->socket().available(error) > 0;
 }
 
 awaitable<std::optional<caller_request>> call_session::ReadRequest() {
@@ -85,7 +95,7 @@
     co_await http::async_read(channel_->socket(), channel_->buffer(), parser, StoreError(error));
   }
   if (error) {
-    if (IsMalformed(error)) RefuseMalformed(error);
+    if (IsMalformed(error) || error == asio::error::operation_aborted) RefuseMalformed(error);
     co_return std::nullopt;
   }
   auto message = parser.release();
@@ -108,14 +118,18 @@
 }
 
 void call_session::CloseIfExpired(time_point now) {
-  if (expires_at_ && now >= *expires_at_) channel_->Close();
+  if (expires_at_ && now >= *expires_at_) CancelRead();
 }
 
 void call_session::CloseIfIdle() {
-  if (!idle_ || serves_call_) return;
-  error_code error;
-  if (channel_->socket().available(error) > 0) return;
-  channel_->Close();
+  if (idle_) CancelRead();
+}
+
+void call_session::CancelRead() {
+  // Closing the socket here would lose a request that was read but has not been processed yet;
+  // cancelling has no effect on a read that has taken bytes.
+  error_code ignored;
+  channel_->socket().cancel(ignored);
 }
 
 }  // namespace waxwingwing
--- a/src/forward/call_session.h
+++ b/src/forward/call_session.h
@@ -19,12 +19,14 @@
 
   /// Closes the connection when its caller has exceeded the idle, header or body time-out.
   void CloseIfExpired(time_point now);
-  /// Closes the connection when no request is under way and no bytes of one have arrived.
+  /// Closes the connection unless a request is under way or bytes of one have arrived.
   void CloseIfIdle();
   bool serves_call() const { return serves_call_; }
 
  private:
   awaitable<bool> WaitForRequest();
+  bool HasUnreadBytes() const;
+  void CancelRead();
   awaitable<std::optional<caller_request>> ReadRequest();
   void RefuseMalformed(const error_code& error);
   caller_limits Limits() const;
@@ -33,7 +35,8 @@
   std::shared_ptr<caller_channel> channel_;
   /// Deadline for the caller's next request; absent while a request is being served.
   std::optional<time_point> expires_at_;
-  bool idle_ = true;
+  /// Whether the session waits for the first bytes of a request.
+  bool idle_ = false;
   bool serves_call_ = false;
 };
 
--- /dev/null
+++ b/tests/unit/call_session_test.cc
@@ -0,0 +1,130 @@
+#include "forward/call_session.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "platform/header_codec.h"
+#include "tests/unit/run_awaitable.h"
+
+namespace waxwingwing {
+namespace {
+
+using asio::ip::tcp;
+
+class silent_hooks final : public forward_hooks {
+ public:
+  bool AreKeysCurrent() const override { return true; }
+  void OnStall(const server_group_id& /*group*/, const backend_server_id& /*head*/) override {}
+  void OnDirectoryMismatch() override {}
+  duration ConfigurationAge() const override { return duration::zero(); }
+  duration DirectoryAge() const override { return duration::zero(); }
+};
+
+/// A session with a caller on loopback. Its service has no server, so each request is refused.
+class session_fixture {
+ public:
+  session_fixture()
+      : log_(clock_, "vm", [](std::string_view text) { return text.size(); }),
+        selection_({}, failure_domain_id("f"), random_source(1)),
+        retries_(1, 1),
+        core_({context_, clock_, codec_, selection_, retries_, log_, metrics_, hooks_}, {}),
+        caller_(context_) {
+    auto configuration = std::make_shared<traffic_configuration>();
+    traffic_route route;
+    route.host = "desk.example";
+    route.path_prefix = "/";
+    route.services = {{service_id("desk"), 1}};
+    configuration->AddRoute(route);
+    core_.configuration = configuration;
+    tcp::acceptor acceptor(context_, {asio::ip::address_v4::loopback(), 0});
+    caller_.connect(acceptor.local_endpoint());
+    session_ = std::make_shared<call_session>(core_, acceptor.accept());
+    asio::co_spawn(context_, session_->Run(), asio::detached);
+  }
+
+  call_session& session() { return *session_; }
+  manual_clock& clock() { return clock_; }
+
+  void SendRequest(const std::string& id) {
+    asio::write(caller_, asio::buffer("GET /x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: " + id +
+                                      "\r\n\r\n"));
+  }
+
+  /// Runs the session until it waits for its caller.
+  void RunPending() {
+    context_.restart();
+    context_.poll();
+  }
+
+  /// Runs the session one handler at a time until the answer to the request arrives, and calls
+  /// `between` before each. Returns false when the connection ends before; fails when neither
+  /// happens.
+  template <typename function>
+  bool AwaitAnswer(const std::string& id, const function& between) {
+    std::string received;
+    error_code error;
+    const bool ended = RunUntil(context_, [&] {
+      between();
+      char bytes[1024];
+      caller_.non_blocking(true);
+      const std::size_t size = caller_.read_some(asio::buffer(bytes), error);
+      received.append(bytes, size);
+      const bool open = !error || error == asio::error::would_block;
+      return !open || received.find("Request-Id: " + id) != std::string::npos;
+    });
+    REQUIRE(ended);
+    return received.find("Request-Id: " + id) != std::string::npos;
+  }
+
+ private:
+  asio::io_context context_;
+  manual_clock clock_;
+  event_log log_;
+  metrics_registry metrics_;
+  header_codec codec_;
+  server_selection selection_;
+  service_retry_budgets retries_;
+  silent_hooks hooks_;
+  forward_core core_;
+  tcp::socket caller_;
+  std::shared_ptr<call_session> session_;
+};
+
+// Guards against closing a kept connection, at a shutdown or when it expires, after the bytes of a
+// request were read and before the session has processed them.
+TEST_CASE("a request that arrives on a kept connection while it is closed is answered",
+          "[forward]") {
+  session_fixture fixture;
+  fixture.SendRequest("first");
+  REQUIRE(fixture.AwaitAnswer("first", [] {}));
+  fixture.RunPending();
+  fixture.SendRequest("second");
+  SECTION("by a shutdown") {
+    CHECK(fixture.AwaitAnswer("second", [&] { fixture.session().CloseIfIdle(); }));
+  }
+  SECTION("because it was idle for long") {
+    fixture.clock().Advance(std::chrono::minutes(1));
+    CHECK(fixture.AwaitAnswer("second",
+                              [&] { fixture.session().CloseIfExpired(fixture.clock().Now()); }));
+  }
+}
+
+TEST_CASE("an idle connection is closed by a shutdown and when it expires", "[forward]") {
+  session_fixture fixture;
+  fixture.RunPending();
+  SECTION("by a shutdown") {
+    CHECK_FALSE(fixture.AwaitAnswer("none", [&] { fixture.session().CloseIfIdle(); }));
+  }
+  SECTION("because it was idle for long") {
+    fixture.clock().Advance(std::chrono::minutes(1));
+    CHECK_FALSE(fixture.AwaitAnswer(
+        "none", [&] { fixture.session().CloseIfExpired(fixture.clock().Now()); }));
+  }
+}
+
+}  // namespace
+}  // namespace waxwingwing
