forward: let a stream that broke off wait for a server that has room

What callers saw: streams of a failed server ended although another server could have resumed them a moment later; after a crash of one group all its streams ask the others in the same instant. Cause: the class of the fault of the silent servers, a check at one instant: a stream that broke off was resumed only when a server could be selected at that moment, and a second selection was not repeated. Change: a stream whose response has started waits up to 1.2 s for a server, within the limits of attempts and retries.

--- a/include/waxwingwing/forward/forward_options.h
+++ b/include/waxwingwing/forward/forward_options.h
@@ -35,6 +35,9 @@
   /// Fraction of a route's latency objective for which a request waits for free capacity on a
   /// server; the response can still start within the objective after that.
   double queue_wait_fraction = 0.3;
+  /// How long a stream that broke off waits for a server that can resume it; callers disconnect
+  /// after 2 s without an event.
+  milliseconds resume_wait{1200};
   /// Maximum number of times that one request is sent, including sends that a server rejected.
   std::size_t max_sends = 4;
   /// Unsent bytes for one slow caller above which reading from the server's stream is paused.
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -278,9 +278,11 @@
 }
 
 bool forward_call::MayWaitForCapacity() const {
+  if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return false;
+  // Ending the response would lose what the caller has received.
+  if (head_sent_) return core_.Now() - broke_off_at_ < core_.options.resume_wait;
   // When capacity is freed soon, the response can still start within the latency objective.
   if (sends_ > 0 || selection_failure_ != selection_failure::kAllFull) return false;
-  if (caller_left_ || channel_.gone()) return false;
   const auto limit =
       std::chrono::duration_cast<duration>(route_->objective * core_.options.queue_wait_fraction);
   return core_.Now() - arrived_at_ < limit;
@@ -367,7 +369,7 @@
     last_failure_ = "the refusal does not state that the request was not executed";
     return HandleBrokenExchange(exchange_abort::kNone);
   }
-  const bool repeat = response.status >= 500 && MayResend(true) && TryReserveRetry();
+  const bool repeat = response.status >= 500 && TryReserveResend();
   if (repeat) {
     core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "server_error"}}).Increment();
     return false;
@@ -403,6 +405,12 @@
   return true;
 }
 
+bool forward_call::TryReserveResend() {
+  // A response that has started waits for a server; see `MayWaitForCapacity`.
+  if (head_sent_) return MayResend(true) && core_.retries.TryTake(service_);
+  return MayResend(true) && TryReserveRetry();
+}
+
 bool forward_call::TryReserveRetry() {
   const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
   return core_.selection.CanSelect(candidates, tried_, core_.Now()) &&
@@ -419,7 +427,8 @@
     FailRequest(504, "deadline");
     return true;
   }
-  if (MayResend(true) && TryReserveRetry()) {
+  broke_off_at_ = core_.Now();
+  if (TryReserveResend()) {
     core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "broken"}}).Increment();
     core_.log.Write("request_moved", {{"request", request_metadata_.id.str()},
                                       {"from", server_.server.str()},
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -59,7 +59,7 @@
 
   awaitable<void> Forward();
   const dispatch_candidate* SelectServer();
-  /// Whether the request may wait for free capacity on a server.
+  /// Whether the request may wait for a server that can take it.
   bool MayWaitForCapacity() const;
   /// Ends a request for which no server could be selected.
   void FailUnselected();
@@ -89,8 +89,11 @@
   const char* RecordNotExecuted(const server_exchange& exchange);
   bool HandleNotExecuted(const server_exchange& exchange);
   bool HandleBrokenExchange(exchange_abort abort_reason);
-  /// Whether another server can take the request; if so, consumes a retry from the budget.
+  /// Whether another server can take the request now; if so, consumes a retry from the budget.
   bool TryReserveRetry();
+  /// Whether a request that may have run may be sent again; if so, consumes a retry from the
+  /// budget.
+  bool TryReserveResend();
   /// Whether the limits on sends and attempts allow the request to be sent again.
   bool MayResend(bool may_have_run) const;
   /// Returns the head of the response to the caller, or nothing when it was sent before.
@@ -136,6 +139,8 @@
   std::size_t possible_runs_ = 0;
   std::optional<std::uint64_t> last_event_;
   std::optional<duration> first_event_after_;
+  /// When the response to the caller was last interrupted.
+  time_point broke_off_at_{};
   bool head_sent_ = false;
   bool caller_left_ = false;
   bool keeps_connection_ = true;
--- a/tests/integration/entry_silence_test.cc
+++ b/tests/integration/entry_silence_test.cc
@@ -122,5 +122,18 @@
   }));
 }
 
+// Guards against ending streams whose server has failed because the others have no room at that
+// moment.
+TEST_CASE("entry: streams of a failed server wait until another one has room to resume them",
+          "[entry]") {
+  entry_deployment deployment({.runners = 4, .events = kEvents});
+  deployment.WaitUntilServing();
+  // As many as the only group takes at once.
+  stream_callers callers(deployment, 6);
+  Sleep(milliseconds(400));
+  deployment.Head().Kill();
+  CHECK(callers.Join() == std::vector<std::size_t>(6, kEvents));
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
