quarantine: refuse requests with a part of a prompt that crashes servers

What callers saw: requests with one part crashed a server every second for as long as they came (22 to 25 in 22 s); sound requests of the same caller were refused or broken off meanwhile. Cause: each VM took each broken connection for a fault of the server and sent the request to another one; nothing connected the crashes, of which a VM sees only some. Change: a server that ends a connection before an answer has begun, and refuses a new one, has crashed; the parts of the prompts at it, but for each request's own, are suspected. An answer that has begun and gone on clears its parts. A part on which three servers crashed (five, if it was answered before) is quarantined for 60 s: requests with it are refused as not run, and not sent again. VMs exchange the evidence over the controller link. Crashes within 200 ms count once, so that a common failure of many servers blames nobody. Ruled out: blame by caller or first part (sound requests share both); counting per VM (a VM sees one crash in eight). After a review: a server that crashes again counts again; a VM that knows an answer keeps its own judgement; a request is not sent again before it is known whether it has crashed its server; arrivals of events count for each server; outdated evidence is not taken back.

--- a/include/waxwingwing/core/ids.h
+++ b/include/waxwingwing/core/ids.h
@@ -15,6 +15,8 @@
 using attempt_id = strong_id<struct attempt_id_tag>;
 using append_id = strong_id<struct append_id_tag>;
 using note_id = strong_id<struct note_id_tag>;
+/// Part of a prompt, such as a system prompt or a document, that several requests may share.
+using prompt_part_id = strong_id<struct prompt_part_id_tag>;
 
 /// Random number generated at each process start, which distinguishes the runs of a VM's process.
 using incarnation = strong_number<struct incarnation_tag>;
--- a/include/waxwingwing/forward/call_codec.h
+++ b/include/waxwingwing/forward/call_codec.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "waxwingwing/core/ids.h"
 #include "waxwingwing/core/units.h"
@@ -21,6 +22,8 @@
   /// API key: the secret that identifies the caller's organisation.
   std::string key;
   std::string model;
+  /// Parts of the prompt that other requests may share; without the request's own part.
+  std::vector<prompt_part_id> shared_parts;
   /// Id of the last stream event that the caller has received; the stream resumes after it.
   std::optional<std::uint64_t> last_event;
   /// Description of what is wrong with the headers; empty when they are valid.
--- a/include/waxwingwing/forward/forwarder.h
+++ b/include/waxwingwing/forward/forwarder.h
@@ -15,6 +15,7 @@
 #include "waxwingwing/logging/event_log.h"
 #include "waxwingwing/metrics/metrics_registry.h"
 #include "waxwingwing/platform/coroutine.h"
+#include "waxwingwing/quarantine/prompt_quarantine.h"
 #include "waxwingwing/routing/service_retry_budgets.h"
 
 namespace boost::asio {
@@ -48,6 +49,7 @@
   const call_codec& codec;
   server_selection& selection;
   service_retry_budgets& retries;
+  prompt_quarantine& quarantine;
   event_log& log;
   metrics_registry& metrics;
   forward_hooks& hooks;
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -252,10 +252,41 @@
   MSGPACK_DEFINE(group, server)
 };
 
+/// A backend server that crashed, and the time since.
+struct server_crash_message {
+  std::string server;
+  milliseconds age{0};
+
+  bool operator==(const server_crash_message&) const = default;
+  MSGPACK_DEFINE(server, age)
+};
+
+/// What is known about a part of prompts on which servers have crashed.
+struct part_evidence_message {
+  std::string part;
+  std::vector<server_crash_message> crashes;
+  /// Time since an answer to a request with the part succeeded; empty when none is remembered.
+  std::optional<milliseconds> answered_age;
+  /// Time since the part was quarantined; empty when it is not.
+  std::optional<milliseconds> quarantined_age;
+
+  bool operator==(const part_evidence_message&) const = default;
+  MSGPACK_DEFINE(part, crashes, answered_age, quarantined_age)
+};
+
+/// From a VM to the controller: its own observations; from the controller: those of all VMs.
+struct crash_evidence_message {
+  std::vector<part_evidence_message> parts;
+
+  bool operator==(const crash_evidence_message&) const = default;
+  MSGPACK_DEFINE(parts)
+};
+
 /// The position in the list is the type byte of a frame: 1 for `hello_message` and so on.
-using peer_message = std::variant<hello_message, node_status_message, log_fetch_message,
-                                  log_records_message, credit_request_message, credit_grant_message,
-                                  vm_load_message, directory_feed_message, stall_message>;
+using peer_message =
+    std::variant<hello_message, node_status_message, log_fetch_message, log_records_message,
+                 credit_request_message, credit_grant_message, vm_load_message,
+                 directory_feed_message, stall_message, crash_evidence_message>;
 
 /// Name of the message's type, for metrics.
 std::string_view TypeName(const peer_message& message);
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -60,6 +60,46 @@
   return requests;
 }
 
+milliseconds AgeOf(time_point at, time_point now) {
+  return std::chrono::duration_cast<milliseconds>(std::max(now - at, duration::zero()));
+}
+
+std::optional<milliseconds> AgeOf(const std::optional<time_point>& at, time_point now) {
+  return at ? std::optional<milliseconds>(AgeOf(*at, now)) : std::nullopt;
+}
+
+std::optional<time_point> TimeOf(const std::optional<milliseconds>& age, time_point now) {
+  return age ? std::optional<time_point>(now - *age) : std::nullopt;
+}
+
+crash_evidence_message ToMessage(const std::vector<part_evidence>& evidence, time_point now) {
+  crash_evidence_message message;
+  for (const part_evidence& known : evidence) {
+    part_evidence_message part{
+        known.part.str(), {}, AgeOf(known.answered_at, now), AgeOf(known.quarantined_at, now)};
+    for (const server_crash& crash : known.crashes) {
+      part.crashes.push_back({crash.server.str(), AgeOf(crash.at, now)});
+    }
+    message.parts.push_back(std::move(part));
+  }
+  return message;
+}
+
+std::vector<part_evidence> FromMessage(const crash_evidence_message& message, time_point now) {
+  std::vector<part_evidence> evidence;
+  for (const part_evidence_message& part : message.parts) {
+    part_evidence known{prompt_part_id(part.part),
+                        {},
+                        TimeOf(part.answered_age, now),
+                        TimeOf(part.quarantined_age, now)};
+    for (const server_crash_message& crash : part.crashes) {
+      known.crashes.push_back({backend_server_id(crash.server), now - crash.age});
+    }
+    evidence.push_back(std::move(known));
+  }
+  return evidence;
+}
+
 }  // namespace
 
 controller_link::controller_link(entry_context& entry, store_client& store,
@@ -88,6 +128,7 @@
       if (controller_) network_.SetPeers({});
       controller_.reset();
       feed_received_at_.reset();
+      PublishEvidence();
     } else {
       published_offset_.reset();
       co_await FollowController();
@@ -132,6 +173,16 @@
 void controller_link::SendOwnRequests() {
   if (!controller_) return;
   network_.Send(*controller_, vm_load_message{ToMessage(hooks_.own_requests())});
+  SendEvidence(*controller_, hooks_.own_evidence());
+}
+
+void controller_link::SendEvidence(const vm_id& to, const std::vector<part_evidence>& evidence) {
+  if (!evidence.empty()) network_.Send(to, ToMessage(evidence, entry_.clock.Now()));
+}
+
+void controller_link::PublishEvidence() {
+  const std::vector<part_evidence> evidence = hooks_.all_evidence();
+  for (const auto& [vm, known] : followers_) SendEvidence(vm, evidence);
 }
 
 bool controller_link::IsFeedCurrent() const {
@@ -144,6 +195,8 @@
     followers_[vm] = {FromMessage(load->servers), now};
   } else if (const auto* stall = std::get_if<stall_message>(&message)) {
     hooks_.on_stall(*stall);
+  } else if (const auto* evidence = std::get_if<crash_evidence_message>(&message)) {
+    hooks_.on_evidence(FromMessage(*evidence, now));
   } else if (const auto* feed = std::get_if<directory_feed_message>(&message)) {
     // A previous controller may still send messages; only those of the current one count.
     if (controller_ != vm) return;
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -15,6 +15,7 @@
 #include "waxwingwing/core/random_source.h"
 #include "waxwingwing/dispatch/server_requests.h"
 #include "waxwingwing/peer/peer_network.h"
+#include "waxwingwing/quarantine/prompt_quarantine.h"
 
 namespace waxwingwing {
 
@@ -28,6 +29,12 @@
   std::function<server_requests()> own_requests;
   /// Called with the running requests of all other VMs on each backend server.
   std::function<void(const server_requests&)> on_other_requests;
+  /// Returns this VM's observations of parts of prompts on which servers crashed.
+  std::function<std::vector<part_evidence>()> own_evidence;
+  /// Returns the known observations of all VMs.
+  std::function<std::vector<part_evidence>()> all_evidence;
+  /// Called with observations of other VMs.
+  std::function<void(const std::vector<part_evidence>&)> on_evidence;
 };
 
 /// Connects each entry VM directly with the controller.
@@ -69,6 +76,8 @@
   awaitable<void> FollowController();
   awaitable<void> FindController();
   void SendOwnRequests();
+  void SendEvidence(const vm_id& to, const std::vector<part_evidence>& evidence);
+  void PublishEvidence();
   /// Subtracts this VM's own requests from those of all VMs and passes the difference to
   /// `on_other_requests`.
   void NotifyOtherRequests(server_requests all) const;
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -7,10 +7,10 @@
 
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
-#include "waxwingwing/platform/wakeable_pause.h"
 #include "platform/store_client.h"
 #include "waxwingwing/directory/registration_poll_interval.h"
 #include "waxwingwing/peer/messages.h"
+#include "waxwingwing/platform/wakeable_pause.h"
 
 namespace waxwingwing {
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -63,7 +63,10 @@
         selection_({}, settings.failure_domain, random_source::FromDevice()),
         retries_(settings.retry_ratio * kRetryBudgetFraction,
                  settings.retry_slack * kRetryBudgetFraction),
-        forwarder_({context_, clock_, codec_, selection_, retries_, log_, metrics_, *this}, {}),
+        quarantine_({}),
+        forwarder_(
+            {context_, clock_, codec_, selection_, retries_, quarantine_, log_, metrics_, *this},
+            {}),
         election_(entry_, store_, controller_link::MemberName(settings, random_.HexId()),
                   [this] { UpdateWorkShare(); }),
         link_(entry_, store_, election_, LinkHooks()),
@@ -139,6 +142,11 @@
     hooks.on_other_requests = [this](const server_requests& requests) {
       selection_.SetOtherRequests(requests, clock_.Now());
     };
+    hooks.own_evidence = [this] { return quarantine_.OwnEvidence(); };
+    hooks.all_evidence = [this] { return quarantine_.AllEvidence(); };
+    hooks.on_evidence = [this](const std::vector<part_evidence>& evidence) {
+      LogQuarantine(quarantine_.Merge(evidence, clock_.Now()));
+    };
     return hooks;
   }
 
@@ -153,6 +161,12 @@
     return hooks;
   }
 
+  void LogQuarantine(const std::vector<prompt_part_id>& parts) {
+    for (const prompt_part_id& part : parts) {
+      log_.Write("prompt_part_quarantined", {{"part", part.str()}, {"source", "other_vms"}});
+    }
+  }
+
   void UpdateWorkShare() {
     selection_.SetPartitions(election_.ConfirmedAssignment());
     retries_.SetShare(election_.partition_assignment().Share());
@@ -252,6 +266,7 @@
   header_codec codec_;
   server_selection selection_;
   service_retry_budgets retries_;
+  prompt_quarantine quarantine_;
   forwarder forwarder_;
   controller_election election_;
   controller_link link_;
--- a/src/entry/formation_controller.h
+++ b/src/entry/formation_controller.h
@@ -6,9 +6,9 @@
 
 #include "entry/controller_election.h"
 #include "entry/entry_state.h"
-#include "waxwingwing/platform/wakeable_pause.h"
 #include "platform/order_client.h"
 #include "waxwingwing/formation/group_planner.h"
+#include "waxwingwing/platform/wakeable_pause.h"
 
 namespace waxwingwing {
 
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -32,6 +32,10 @@
 constexpr milliseconds kFullRetryDelay{400};
 /// Resolution of the weighted choice between a route's services, in steps.
 constexpr std::uint64_t kShareSteps = 1U << 20U;
+/// Number of arrivals of events after which a server is certain to bear a prompt.
+constexpr std::size_t kSoundArrivals = 2;
+/// Reason of the refusal of a request whose prompt crashes servers.
+constexpr std::string_view kQuarantinedPrompt = "prompt_crashes_servers";
 /// The retries of callers are spread over this time, on top of the base delay.
 constexpr milliseconds kRetryDelaySpread{500};
 
@@ -63,13 +67,14 @@
 
 }  // namespace
 
-const std::array<forward_call::filter, 6> forward_call::kFilters = {
+const std::array<forward_call::filter, 7> forward_call::kFilters = {
     &forward_call::RequireConfiguration,
     &forward_call::ReadHeaders,
     &forward_call::FindRoute,
     &forward_call::Identify,
     &forward_call::ChooseService,
-    &forward_call::CheckTime};
+    &forward_call::CheckTime,
+    &forward_call::CheckPrompt};
 
 forward_call::forward_call(forward_core& core, caller_channel& channel, caller_request request)
     : core_(core),
@@ -150,6 +155,17 @@
   return call_refusal{503, "no_time_left", {}};
 }
 
+std::optional<call_refusal> forward_call::CheckPrompt() {
+  const auto until = QuarantinedUntil();
+  if (!until) return std::nullopt;
+  return call_refusal{503, kQuarantinedPrompt,
+                      std::chrono::ceil<milliseconds>(*until - core_.Now())};
+}
+
+std::optional<time_point> forward_call::QuarantinedUntil() const {
+  return core_.quarantine.QuarantinedUntil(request_metadata_.shared_parts, core_.Now());
+}
+
 milliseconds forward_call::TimeLeft(time_point now) const {
   return std::chrono::duration_cast<milliseconds>(deadline_ - now);
 }
@@ -170,6 +186,7 @@
     exchange_ = MakeExchange(*selected);
     server_ = exchange_->target();
     exchange_outcome end = co_await exchange_->Run();
+    co_await RecordPromptOutcome(*exchange_, end);
     if (standby_) end = co_await JoinStandby(end);
     const bool done = EvaluateExchange(*exchange_, end);
     exchange_.reset();
@@ -209,6 +226,7 @@
 
 awaitable<void> forward_call::RunStandby() {
   const exchange_outcome end = co_await standby_->Run();
+  co_await RecordPromptOutcome(*standby_, end);
   standby_outcome_ = end;
   const bool aborted = standby_->abort_reason() != exchange_abort::kNone;
   if (!standby_took_over_ && !aborted && IsAnswer(*standby_, end)) TakeOver();
@@ -273,12 +291,15 @@
 
 const dispatch_candidate* forward_call::SelectServer() {
   if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return nullptr;
+  // The request itself may have shown that its prompt crashes servers.
+  if (QuarantinedUntil()) return nullptr;
   const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
   return core_.selection.Select(candidates, tried_, core_.Now(), selection_failure_);
 }
 
 bool forward_call::MayWaitForCapacity() const {
   if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return false;
+  if (QuarantinedUntil()) return false;
   // Ending the response would lose what the caller has received.
   if (head_sent_) return core_.Now() - broke_off_at_ < core_.options.resume_wait;
   // When capacity is freed soon, the response can still start within the latency objective.
@@ -294,6 +315,8 @@
     keeps_connection_ = false;
   } else if (TimeLeft(core_.Now()) < kMinTimeLeft) {
     FailRequest(504, "deadline");
+  } else if (QuarantinedUntil()) {
+    FailRequest(502, kQuarantinedPrompt);
   } else {
     FailRequest(502, NameOf(selection_failure_));
   }
@@ -336,6 +359,22 @@
   return route_->MayRepeat() && possible_runs_ < route_->max_attempts;
 }
 
+awaitable<void> forward_call::RecordPromptOutcome(const server_exchange& exchange,
+                                                  exchange_outcome outcome) {
+  if (request_metadata_.shared_parts.empty() || prompt_is_sound_) co_return;
+  const unsigned status = exchange.response().status;
+  const bool success = outcome == exchange_outcome::kComplete && status >= 200 && status < 300;
+  if (success) RecordSoundPrompt();
+  if (outcome != exchange_outcome::kBroken) co_return;
+  // Awaited, so that a request that has just crashed a server is not sent to another one.
+  co_await core_.crashes.Run(exchange.target(), request_metadata_.shared_parts);
+}
+
+void forward_call::RecordSoundPrompt() {
+  prompt_is_sound_ = true;
+  core_.quarantine.RecordAnswer(request_metadata_.shared_parts, core_.Now());
+}
+
 bool forward_call::EvaluateExchange(server_exchange& exchange, exchange_outcome end) {
   last_failure_ = exchange.failure();
   if (exchange.last_event()) last_event_ = exchange.last_event();
@@ -448,6 +487,7 @@
   const bool from_standby = &exchange == standby_.get();
   if (from_standby && !standby_took_over_) TakeOver();
   if (!from_standby && standby_) standby_->Abort(exchange_abort::kSuperseded);
+  if (exchange.event_arrivals() == kSoundArrivals) RecordSoundPrompt();
   // One write, since each costs a system call.
   channel_.Send(StartStream(exchange.response()) + WriteChunk(events));
 }
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -48,7 +48,7 @@
 
  private:
   using filter = std::optional<call_refusal> (forward_call::*)();
-  static const std::array<filter, 6> kFilters;
+  static const std::array<filter, 7> kFilters;
 
   std::optional<call_refusal> RequireConfiguration();
   std::optional<call_refusal> ReadHeaders();
@@ -56,6 +56,7 @@
   std::optional<call_refusal> Identify();
   std::optional<call_refusal> ChooseService();
   std::optional<call_refusal> CheckTime();
+  std::optional<call_refusal> CheckPrompt();
 
   awaitable<void> Forward();
   const dispatch_candidate* SelectServer();
@@ -82,6 +83,12 @@
   /// exchange when it has taken over, and returns the outcome of the current exchange.
   awaitable<exchange_outcome> JoinStandby(exchange_outcome current);
 
+  /// Records what the end of an exchange says about the parts of the prompt.
+  awaitable<void> RecordPromptOutcome(const server_exchange& exchange, exchange_outcome outcome);
+  void RecordSoundPrompt();
+  /// When the request may be sent, if its prompt is quarantined.
+  std::optional<time_point> QuarantinedUntil() const;
+
   /// Evaluates a finished exchange; returns false when the request is to be sent to another server.
   bool EvaluateExchange(server_exchange& exchange, exchange_outcome end);
   bool EvaluateResponse(server_exchange& exchange);
@@ -141,6 +148,8 @@
   std::optional<duration> first_event_after_;
   /// When the response to the caller was last interrupted.
   time_point broke_off_at_{};
+  /// Whether a server has gone on after it had begun to answer.
+  bool prompt_is_sound_ = false;
   bool head_sent_ = false;
   bool caller_left_ = false;
   bool keeps_connection_ = true;
--- a/src/forward/forward_core.h
+++ b/src/forward/forward_core.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <set>
 
+#include "forward/crash_check.h"
 #include "forward/server_pool.h"
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/directory/traffic_configuration.h"
@@ -35,11 +36,13 @@
   const call_codec& codec;
   server_selection& selection;
   service_retry_budgets& retries;
+  prompt_quarantine& quarantine;
   event_log& log;
   metrics_registry& metrics;
   forward_hooks& hooks;
   const forward_options options;
   server_pool pool;
+  crash_check crashes;
 
   std::shared_ptr<const traffic_configuration> configuration;
   std::shared_ptr<const dispatch_map> map = std::make_shared<dispatch_map>();
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -32,11 +32,13 @@
       codec(given.codec),
       selection(given.selection),
       retries(given.retries),
+      quarantine(given.quarantine),
       log(given.log),
       metrics(given.metrics),
       hooks(given.hooks),
       options(chosen),
-      pool(options) {}
+      pool(options),
+      crashes(*this) {}
 
 void forward_core::ReportStall(const dispatch_candidate& server, std::string_view evidence,
                                duration silence) {
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -205,6 +205,7 @@
   if (!events.empty()) {
     if (!response_started_) RecordResponseStart();
     core_.selection.LoadOf(plan_.target.server).EventArrived(core_.Now());
+    ++event_arrivals_;
     receiver_.OnEvents(*this, events);
   }
   if (verdict == event_splitter::verdict::kOk) return true;
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -107,6 +107,8 @@
   bool response_started() const { return response_started_; }
   /// Whether the response is a stream whose events are forwarded as they arrive.
   bool passes_events() const { return pass_events_; }
+  /// Number of times that events arrived and were forwarded.
+  std::size_t event_arrivals() const { return event_arrivals_; }
   /// Id of the last event that was forwarded, or that the caller had before.
   std::optional<std::uint64_t> last_event() const { return splitter_.last_id(); }
 
@@ -139,6 +141,7 @@
   std::string failure_;
   time_point started_at_{};
   std::optional<time_point> sent_at_;
+  std::size_t event_arrivals_ = 0;
   bool pass_events_ = false;
   bool response_started_ = false;
   bool stall_reported_ = false;
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -90,12 +90,22 @@
              : "";
 }
 
+std::string InvalidReason(const crash_evidence_message& message) {
+  const auto is_unnamed = [](const part_evidence_message& evidence) {
+    return evidence.part.empty() ||
+           std::any_of(evidence.crashes.begin(), evidence.crashes.end(),
+                       [](const auto& crash) { return crash.server.empty(); });
+  };
+  const bool any = std::any_of(message.parts.begin(), message.parts.end(), is_unnamed);
+  return any ? "crash evidence has no part or server name" : "";
+}
+
 }  // namespace
 
 std::string_view TypeName(const peer_message& message) {
   static constexpr std::string_view kNames[] = {
       "hello",        "node_status", "log_fetch",      "log_records", "credit_request",
-      "credit_grant", "vm_load",     "directory_feed", "stall",
+      "credit_grant", "vm_load",     "directory_feed", "stall",       "crash_evidence",
   };
   static_assert(std::size(kNames) == std::variant_size_v<peer_message>);
   return kNames[message.index()];
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -4,6 +4,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdlib>
 #include <utility>
 
 #include "stand_ins/flags.h"
@@ -15,6 +16,8 @@
 constexpr milliseconds kOpenTime{40};
 constexpr milliseconds kHeartbeatInterval{300};
 constexpr milliseconds kEventInterval{20};
+/// Exit code after a crash.
+constexpr int kCrashed = 70;
 
 /// Encodes a keyed record for an append to the store: length (4 bytes, big-endian), key length (1
 /// byte), key and value.
@@ -109,6 +112,10 @@
     address_ = value.get<std::string>();
     return true;
   }
+  if (name == "deadly_part") {
+    deadly_part_ = value.get<std::string>();
+    return true;
+  }
   if (name != "drain") return stand_in::SetFault(name, value);
   draining_ = value.get<bool>();
   return true;
@@ -252,6 +259,10 @@
   const std::uint64_t break_at = std::exchange(break_after_, 0);
   std::uint64_t sent = 0;
   co_await exchange.BeginChunks("text/event-stream", AnswerHeaders(exchange));
+  const bool is_deadly =
+      !deadly_part_.empty() &&
+      exchange.Header("Prefix-Hash").find(deadly_part_ + ":") != std::string::npos;
+  if (is_deadly) std::_Exit(kCrashed);
   for (; next <= FLAGS_events; ++next) {
     co_await Sleep(kEventInterval);
     while (stall_ && !exchange.IsClosed()) co_await Sleep(kEventInterval);
--- a/stand_ins/model_runner.h
+++ b/stand_ins/model_runner.h
@@ -19,7 +19,8 @@
 /// stream breaks off in the middle of the event that follows this many events), `reject` (count:
 /// requests refused as not executed), `extra` (count: requests answered twice), `drop_answers`
 /// (count: requests that run, after which the connection is closed without an answer), `drain`
-/// (bool: registers as draining), `advertise` (text: registers under this address, that of a
+/// (bool: registers as draining), `deadly_part` (text: the process ends when it begins to answer a
+/// request whose prompt has this part), `advertise` (text: registers under this address, that of a
 /// proxy).
 class model_runner final : public stand_in {
  public:
@@ -64,6 +65,7 @@
   std::uint64_t reject_ = 0;
   std::uint64_t extra_ = 0;
   std::uint64_t drop_answers_ = 0;
+  std::string deadly_part_;
 };
 
 }  // namespace waxwingwing::stand_ins
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -211,9 +211,10 @@
   return http_client(CallerAddress(index)).Send({method, path, headers, body});
 }
 
-result<http_answer> entry_deployment::Stream(std::size_t entry) const {
-  return CallAt(entry, "POST", "/stream/2f", {{"Model", "large"}, {"Token-Usage", "100,60"}},
-                "prompt");
+result<http_answer> entry_deployment::StreamOf(const std::string& parts, std::size_t entry) const {
+  header_list headers = {{"Model", "large"}, {"Token-Usage", "100,60"}};
+  if (!parts.empty()) headers.emplace_back("Prefix-Hash", parts);
+  return CallAt(entry, "POST", "/stream/2f", std::move(headers), "prompt");
 }
 
 void entry_deployment::SetFault(child_process& stand_in, const std::string& name,
--- a/tests/integration/entry_deployment.h
+++ b/tests/integration/entry_deployment.h
@@ -59,7 +59,9 @@
   result<http_answer> CallAt(std::size_t index, const std::string& method, const std::string& path,
                              header_list headers = {}, const std::string& body = {}) const;
   /// Sends a stream request for the model.
-  result<http_answer> Stream(std::size_t entry = 0) const;
+  result<http_answer> Stream(std::size_t entry = 0) const { return StreamOf("", entry); }
+  /// The same for a prompt with these parts, as ID:TOKENS entries; empty: none are stated.
+  result<http_answer> StreamOf(const std::string& parts, std::size_t entry = 0) const;
 
   void SetFault(child_process& stand_in, const std::string& name, const nlohmann::json& value);
   nlohmann::json Records(child_process& stand_in, const std::string& list);
--- a/tests/unit/call_session_test.cc
+++ b/tests/unit/call_session_test.cc
@@ -31,7 +31,8 @@
       : log_(clock_, "vm", [](std::string_view text) { return text.size(); }),
         selection_({}, failure_domain_id("f"), random_source(1)),
         retries_(1, 1),
-        core_({context_, clock_, codec_, selection_, retries_, log_, metrics_, hooks_}, {}),
+        core_({context_, clock_, codec_, selection_, retries_, quarantine_, log_, metrics_, hooks_},
+              {}),
         caller_(context_) {
     auto configuration = std::make_shared<traffic_configuration>();
     traffic_route route;
@@ -88,6 +89,7 @@
   header_codec codec_;
   server_selection selection_;
   service_retry_budgets retries_;
+  prompt_quarantine quarantine_{{}};
   silent_hooks hooks_;
   forward_core core_;
   tcp::socket caller_;
--- a/tests/unit/frame_codec_test.cc
+++ b/tests/unit/frame_codec_test.cc
@@ -62,7 +62,9 @@
           grant,
           vm_load_message{{{"s1", 4}}},
           directory_feed_message{7, 9, PackChanges({{"s1", "{}"}}), milliseconds(20), {{"s1", 6}}},
-          stall_message{"g", "s1"}};
+          stall_message{"g", "s1"},
+          crash_evidence_message{
+              {{"part", {{"s1", milliseconds(30)}}, milliseconds(20), std::nullopt}}}};
 }
 
 TEST_CASE("registration changes survive packing, and broken ones are rejected", "[peer]") {
