forward: do not trust a refusal without an id on a reused connection

A server repeated an earlier refusal (503 with Not-Executed) without its request id on a kept connection, in front of the answer to the next request. ReadHead took a response without an id as the answer, so a request that had run was sent to a second server and its caller was told "not run".

A request that may run at most once now counts as possibly run after such a refusal: it is not sent again and its caller gets 502. A new connection carries no earlier request's refusal, and requests that may be repeated are handled as before.

The model runner stand-in can write raw bytes before, after and instead of an answer.

--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -329,6 +329,7 @@
   plan.id = request_metadata_.id;
   plan.head_only = request_.method == "HEAD";
   plan.stream = route_->repeat == repeat_rule::kStream;
+  plan.at_most_once = !route_->MayRepeat();
   plan.last_event = last_event_;
   plan.deadline = deadline_;
   plan.objective = route_->objective;
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -135,6 +135,10 @@
     }
     const auto& message = parser_->get();
     response_.metadata = core_.codec.ReadResponseMetadata(message.result_int(), message);
+    if (IsUnclearRefusal()) {
+      failure_ = "a refusal without a request id on a reused connection";
+      co_return false;
+    }
     if (response_.metadata.id.empty() || response_.metadata.id == plan_.id) {
       response_.status = message.result_int();
       response_.reason = std::string(message.reason());
@@ -152,6 +156,13 @@
   co_return false;
 }
 
+bool server_exchange::IsUnclearRefusal() const {
+  const response_metadata& metadata = response_.metadata;
+  // Faulty servers repeat the refusal of an earlier request.
+  return plan_.at_most_once && connection_->reused && metadata.id.empty() &&
+         (metadata.not_executed || metadata.wrong_server);
+}
+
 awaitable<bool> server_exchange::SkipBody() {
   std::array<char, kReadSize> bytes;
   error_code error;
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -32,6 +32,8 @@
   bool head_only = false;
   /// Forward events as they arrive instead of buffering the whole response.
   bool stream = false;
+  /// The request must not be sent again unless it is certain that no server has run it.
+  bool at_most_once = false;
   /// Id of the last stream event that the caller has received.
   std::optional<std::uint64_t> last_event;
   /// Latency objective: time within which the response should start.
@@ -121,6 +123,9 @@
   bool IsServerAtFault() const;
   awaitable<exchange_outcome> Send();
   awaitable<bool> ReadHead();
+  /// Whether the response is a refusal that may belong to an earlier request on the connection, and
+  /// the request must not be taken as "not run" for that reason.
+  bool IsUnclearRefusal() const;
   awaitable<bool> ReadBody();
   awaitable<bool> SkipBody();
   bool ProcessBytes(std::string_view bytes);
--- a/stand_ins/http_exchange.cc
+++ b/stand_ins/http_exchange.cc
@@ -89,12 +89,13 @@
   std::string chunk = fmt::format("{:x}\r\n", data.size());
   chunk += data;
   chunk += "\r\n";
-  return Write(std::move(chunk));
+  return WriteBytes(std::move(chunk));
 }
 
-awaitable<bool> http_exchange::EndChunks() { return Write("0\r\n\r\n"); }
+awaitable<bool> http_exchange::EndChunks() { return WriteBytes("0\r\n\r\n"); }
 
-awaitable<bool> http_exchange::Write(std::string data) {
+awaitable<bool> http_exchange::WriteBytes(std::string data) {
+  answered_ = true;
   error_code error;
   co_await asio::async_write(socket_, asio::buffer(data),
                              asio::redirect_error(asio::use_awaitable, error));
--- a/stand_ins/http_exchange.h
+++ b/stand_ins/http_exchange.h
@@ -50,6 +50,8 @@
   awaitable<bool> BeginChunks(std::string content_type, header_list headers);
   awaitable<bool> WriteChunk(const std::string& data);
   awaitable<bool> EndChunks();
+  /// Writes bytes as they are, whether or not they are a response.
+  awaitable<bool> WriteBytes(std::string data);
 
   /// Closes the connection; pending writes fail.
   void Close();
@@ -59,8 +61,6 @@
   bool answered() const { return answered_; }
 
  private:
-  awaitable<bool> Write(std::string data);
-
   tcp::socket& socket_;
   http_request request_;
   std::string path_;
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -18,6 +18,19 @@
 constexpr milliseconds kEventInterval{20};
 /// Exit code after a crash.
 constexpr int kCrashed = 70;
+/// Size, in bytes, from which on bytes that are written again and again are sent.
+constexpr std::size_t kEndlessWriteSize = 16384;
+
+/// Replaces each `{id}` in `text`.
+std::string WithId(std::string text, const std::string& id) {
+  static const std::string kPlaceholder = "{id}";
+  std::size_t position = 0;
+  while ((position = text.find(kPlaceholder, position)) != std::string::npos) {
+    text.replace(position, kPlaceholder.size(), id);
+    position += id.size();
+  }
+  return text;
+}
 
 /// Encodes a keyed record for an append to the store: length (4 bytes, big-endian), key length (1
 /// byte), key and value.
@@ -104,16 +117,17 @@
     *count->second = value.get<std::uint64_t>();
     return true;
   }
-  if (name == "stall") {
-    stall_ = value.get<bool>();
-    return true;
-  }
-  if (name == "advertise") {
-    address_ = value.get<std::string>();
+  const std::map<std::string, std::string*> texts = {
+      {"bytes_before", &bytes_before_}, {"bytes_after", &bytes_after_},
+      {"answer_bytes", &answer_bytes_}, {"endless_bytes", &endless_bytes_},
+      {"deadly_part", &deadly_part_},   {"advertise", &address_}};
+  const auto text = texts.find(name);
+  if (text != texts.end()) {
+    *text->second = value.get<std::string>();
     return true;
   }
-  if (name == "deadly_part") {
-    deadly_part_ = value.get<std::string>();
+  if (name == "stall") {
+    stall_ = value.get<bool>();
     return true;
   }
   if (name != "drain") return stand_in::SetFault(name, value);
@@ -146,9 +160,32 @@
   } else if (!open || reject_ > 0) {
     if (reject_ > 0) --reject_;
     co_await Reject(exchange, 503);
+    co_await WriteOnce(exchange, bytes_after_);
+  } else if (!answer_bytes_.empty()) {
+    co_await AnswerRaw(exchange);
   } else {
     co_await Run(exchange);
+    co_await WriteOnce(exchange, bytes_after_);
+  }
+}
+
+awaitable<void> model_runner::WriteOnce(http_exchange& exchange, std::string& bytes) {
+  if (bytes.empty()) co_return;
+  std::string written = WithId(std::exchange(bytes, {}), exchange.Header("Request-Id"));
+  co_await exchange.WriteBytes(std::move(written));
+}
+
+awaitable<void> model_runner::AnswerRaw(http_exchange& exchange) {
+  const std::string id = exchange.Header("Request-Id");
+  std::string repeated;
+  while (!endless_bytes_.empty() && repeated.size() < kEndlessWriteSize) {
+    repeated += endless_bytes_;
   }
+  records().Add("raw_answers", {{"at_us", MonotonicMicros()}, {"request", id}});
+  std::string first = WithId(answer_bytes_, id);
+  bool written = co_await exchange.WriteBytes(std::move(first));
+  while (written && !repeated.empty()) written = co_await exchange.WriteBytes(repeated);
+  exchange.Close();
 }
 
 unsigned model_runner::Join(const json& order) {
@@ -236,6 +273,7 @@
                                                  {"deadline_ms", exchange.Header("Deadline-Ms")},
                                                  {"after", exchange.Header("Last-Event-Id")},
                                                  {"body", exchange.request().body()}});
+  co_await WriteOnce(exchange, bytes_before_);
   if (FLAGS_streams) {
     co_await Stream(exchange, run);
     co_return;
--- a/stand_ins/model_runner.h
+++ b/stand_ins/model_runner.h
@@ -22,6 +22,13 @@
 /// (bool: registers as draining), `deadly_part` (text: the process ends when it begins to answer a
 /// request whose prompt has this part), `advertise` (text: registers under this address, that of a
 /// proxy).
+///
+/// Faults that write raw bytes, in which `{id}` stands for the request's id: `bytes_before` (text:
+/// written once, in front of the answer to the next request that runs), `bytes_after` (text:
+/// written once, behind the next answer or refusal), `answer_bytes` (text: while set, requests do
+/// not run and are answered by these bytes, after which the connection is closed) and
+/// `endless_bytes` (text: with `answer_bytes`, written after them again and again until the caller
+/// closes the connection). Each such answer is recorded in the list `raw_answers`.
 class model_runner final : public stand_in {
  public:
   explicit model_runner(asio::io_context& context);
@@ -48,6 +55,10 @@
   awaitable<void> Run(http_exchange& exchange);
   awaitable<void> Stream(http_exchange& exchange, std::size_t run);
   awaitable<void> Reject(http_exchange& exchange, unsigned status);
+  /// Answers the request by the bytes of `answer_bytes` and `endless_bytes`.
+  awaitable<void> AnswerRaw(http_exchange& exchange);
+  /// Writes the bytes of a fault that applies once and clears it.
+  awaitable<void> WriteOnce(http_exchange& exchange, std::string& bytes);
   awaitable<void> FinishJoin(std::uint64_t epoch);
   awaitable<void> FinishOpen(std::uint64_t epoch);
   unsigned Join(const json& order);
@@ -66,6 +77,10 @@
   std::uint64_t extra_ = 0;
   std::uint64_t drop_answers_ = 0;
   std::string deadly_part_;
+  std::string bytes_before_;
+  std::string bytes_after_;
+  std::string answer_bytes_;
+  std::string endless_bytes_;
 };
 
 }  // namespace waxwingwing::stand_ins
