forward: do not read events from a response of another type

When a stream broke off and the server that was to resume it answered 200 with a body that is no stream of events, the exchange read events from it all the same. An empty body of type application/json ended the caller's stream as complete, and a text that looked like the next event was forwarded and ended the stream as complete.

A response of a stream is forwarded event by event only if its Content-Type is text/event-stream or absent. Any other one is buffered, and a stream that has begun is then broken off without its final chunk.

Test "entry: a stream that cannot be resumed ends after a whole event and not as complete" failed before in two of its seven sections: "200 of another type without a body" (complete) and "200 with a text that looks like an event" (event 21 of the text was forwarded, complete). The sections with 503 and Not-Executed, 500, 404, 200 with an object, and 200 with a head in the stream passed before as well.

--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/read.hpp>
 #include <utility>
 
@@ -19,6 +20,13 @@
 /// Maximum number of responses to other requests that are skipped before the expected one.
 constexpr int kMaxForeignResponses = 3;
 
+/// Whether the body may consist of events; servers may leave out the type.
+bool MayBeEventStream(const http_fields& fields) {
+  static constexpr std::string_view kType = "text/event-stream";
+  const auto type = fields[http::field::content_type];
+  return type.empty() || boost::beast::iequals(type.substr(0, kType.size()), kType);
+}
+
 }  // namespace
 
 const char* NameOf(exchange_abort abort_reason) {
@@ -144,7 +152,8 @@
       response_.reason = std::string(message.reason());
       response_.fields = message;
       const bool own = response_.metadata.authentic && !response_.metadata.encoded;
-      pass_events_ = plan_.stream && response_.status == 200 && own;
+      pass_events_ =
+          plan_.stream && response_.status == 200 && own && MayBeEventStream(response_.fields);
       if (!pass_events_) RecordResponseStart();
       co_return true;
     }
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -30,7 +30,7 @@
   std::string request;
   request_id id;
   bool head_only = false;
-  /// Forward events as they arrive instead of buffering the whole response.
+  /// Forward events as they arrive instead of buffering the whole response, if it is a stream.
   bool stream = false;
   /// The request must not be sent again unless it is certain that no server has run it.
   bool at_most_once = false;
--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -1,8 +1,15 @@
 // Servers that write bytes that are not the answer to the request at hand.
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <future>
+#include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "tests/integration/entry_deployment.h"
+#include "tests/integration/http_connection.h"
+#include "tests/integration/wait_for.h"
 
 namespace waxwingwing::integration {
 namespace {
@@ -85,5 +92,129 @@
   CHECK(deployment.RunsOf("refused-1") == 0);
 }
 
+constexpr std::size_t kEvents = 40;
+/// Gives the test the time, of some 400 ms, to set faults at the other servers.
+constexpr std::size_t kEventsBeforeBreak = 20;
+
+/// What a caller received of a stream, whether or not it ended properly.
+struct received_stream {
+  unsigned status = 0;
+  std::string body;
+  /// Whether the final chunk was received.
+  bool complete = false;
+};
+
+/// What looks like the event that the caller expects next.
+constexpr const char* kNextEvent = "id: 21\ndata: x\n\n";
+
+received_stream ReceiveStream(const entry_deployment& deployment, const std::string& id) {
+  const time_point deadline = std::chrono::steady_clock::now() + std::chrono::seconds(6);
+  const header_list headers = {{"Host", "desk.example"}, {"Request-Id", id},
+                               {"Deadline-Ms", "4000"},  {"Api-Key", "key-of-first-organisation"},
+                               {"Model", "large"},       {"Token-Usage", "100,60"}};
+  http_connection connection;
+  http_connection::parser parser;
+  auto error = connection.Connect(deployment.CallerAddress(0), deadline);
+  const http_call call{"POST", "/stream/2f", headers, "prompt"};
+  if (!error) error = connection.Write("desk.example", call, deadline);
+  if (!error) error = connection.Read(parser, deadline);
+  return {parser.get().result_int(), parser.get().body(), !error && parser.is_done()};
+}
+
+std::string WholeEvents(std::size_t count) {
+  std::string events;
+  for (std::size_t i = 1; i <= count; ++i) {
+    events += "id: " + std::to_string(i) + "\ndata: token " + std::to_string(i) + "\n\n";
+  }
+  return events;
+}
+
+std::string SignedHead(const std::string& status, const std::string& headers) {
+  return "HTTP/1.1 " + status + "\r\nRequest-Id: {id}\r\nResponse-Signature: x.{id}\r\n" + headers +
+         "\r\n";
+}
+
+std::string SignedAnswer(const std::string& status, const std::string& type,
+                         const std::string& body) {
+  const std::string headers =
+      "Content-Type: " + type + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n";
+  return SignedHead(status, headers) + body;
+}
+
+bool HasRecord(entry_deployment& deployment, child_process& server, const std::string& list,
+               const std::string& id) {
+  const auto records = deployment.Records(server, list);
+  return std::any_of(records.begin(), records.end(),
+                     [&](const auto& record) { return record["request"] == id; });
+}
+
+/// The runner at which the request runs; null when it runs nowhere in time.
+child_process* FindRun(entry_deployment& deployment, const std::string& id) {
+  child_process* found = nullptr;
+  WaitFor(
+      [&] {
+        for (const auto& runner : deployment.runners()) {
+          if (HasRecord(deployment, *runner, "runs", id)) found = runner.get();
+        }
+        return found != nullptr;
+      },
+      milliseconds(2000));
+  return found;
+}
+
+/// Sends a stream that breaks off at its first server; from then on, all other servers answer with
+/// `answer`. Returns what its caller received. Tries again when the stream was resumed before.
+received_stream ReceiveBrokenStream(entry_deployment& deployment, const std::string& answer) {
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "broken-" + std::to_string(i);
+    for (const auto& runner : deployment.runners()) {
+      deployment.SetFault(*runner, "answer_bytes", "");
+      deployment.SetFault(*runner, "break_after", kEventsBeforeBreak);
+    }
+    auto received = std::async(std::launch::async, [&] { return ReceiveStream(deployment, id); });
+    const child_process* first = FindRun(deployment, id);
+    for (const auto& runner : deployment.runners()) {
+      if (runner.get() != first) deployment.SetFault(*runner, "answer_bytes", answer);
+    }
+    received_stream stream = received.get();
+    for (const auto& runner : deployment.runners()) {
+      if (HasRecord(deployment, *runner, "raw_answers", id)) return stream;
+    }
+  }
+  throw std::runtime_error("no broken stream reached another server");
+}
+
+// Guards against giving a caller the text of an error in the middle of a stream, and against ending
+// the stream as if it were complete, when the server that was to resume it answers with an error.
+TEST_CASE("entry: a stream that cannot be resumed ends after a whole event and not as complete",
+          "[entry]") {
+  // Two groups, so that there is another one.
+  entry_deployment deployment({.runners = 6, .events = kEvents});
+  deployment.WaitUntilServing();
+  std::string answer;
+  SECTION("503 with the statement that it has not run") {
+    answer = Refusal("Request-Id: {id}\r\n");
+  }
+  SECTION("500") { answer = SignedAnswer("500 Internal Server Error", "text/plain", kNextEvent); }
+  SECTION("404") { answer = SignedAnswer("404 Not Found", "text/plain", kNextEvent); }
+  SECTION("200 with an object") {
+    answer = SignedAnswer("200 OK", "application/json", R"({"error":"broken"})");
+  }
+  SECTION("200 of another type without a body") {
+    answer = SignedAnswer("200 OK", "application/json", "");
+  }
+  SECTION("200 with a text that looks like an event") {
+    answer = SignedAnswer("200 OK", "text/plain; charset=utf-8", kNextEvent);
+  }
+  SECTION("200 with a head in the stream") {
+    answer = SignedAnswer("200 OK", "text/event-stream",
+                          "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+  }
+  const received_stream received = ReceiveBrokenStream(deployment, answer);
+  CHECK(received.status == 200);
+  CHECK(received.body == WholeEvents(kEventsBeforeBreak));
+  CHECK_FALSE(received.complete);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
