forward: bound the read buffer of a server's connection

The parser has no limit for the line of a chunk's size and extension, nor for a trailer, and the connection's buffer had none either, so a server that sent such a line without end filled the VM's memory until the request's deadline. The buffer now holds at most 64 KB, twice the limit for a response's head; the exchange ends as broken beyond that.

Test "entry: servers that send without end use little memory and time" failed before, with 160 callers at ten servers, in the sections "a chunk's size" (peak of the entry VM 670 MB), "a chunk's extension" (836 MB) and "a trailer" (810 MB). Its limit is 130 MB. The sections with a status line, a header, headers, a chunk, chunks, a body of another request and an event passed before as well (8 to 42 MB).

--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <memory>
@@ -16,7 +17,12 @@
 
 /// A TCP connection to a backend server and the bytes read from it in advance.
 struct server_connection {
-  explicit server_connection(const asio::any_io_executor& executor) : socket(executor) {}
+  /// Maximum number of bytes that are read in advance. Larger than the limit for a response's head;
+  /// a chunk's size line and the trailer, for which the parser has no limit, must fit as well.
+  static constexpr std::size_t kMaxBufferBytes = std::size_t{64} * 1024;
+
+  explicit server_connection(const asio::any_io_executor& executor)
+      : socket(executor), buffer(kMaxBufferBytes) {}
 
   asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <fstream>
 #include <future>
 #include <stdexcept>
 #include <string>
@@ -216,5 +217,81 @@
   CHECK_FALSE(received.complete);
 }
 
+constexpr std::size_t kCallers = 160;
+/// An entry VM has 260 MB.
+constexpr std::size_t kMemoryLimitKilobytes = 130 * 1024;
+constexpr milliseconds kDeadline{2000};
+
+/// Largest memory that the process has had so far.
+std::size_t PeakKilobytes(const child_process& process) {
+  std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
+  std::string name;
+  while (status >> name) {
+    std::size_t kilobytes = 0;
+    if (name == "VmHWM:" && status >> kilobytes) return kilobytes;
+  }
+  throw std::runtime_error("the memory of the process is unknown");
+}
+
+/// Sends requests at the same time; returns their answers' statuses, 0 for those without a whole
+/// answer in time.
+std::vector<unsigned> CallAtOnce(const entry_deployment& deployment, const http_call& call) {
+  std::vector<std::future<unsigned>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::async(std::launch::async, [&]() -> unsigned {
+      header_list headers = call.headers;
+      headers.emplace_back("Deadline-Ms", std::to_string(kDeadline.count()));
+      const auto answer = deployment.Call(call.method, call.path, headers, call.body);
+      return answer ? answer->status : 0;
+    }));
+  }
+  std::vector<unsigned> statuses;
+  for (auto& caller : callers) statuses.push_back(caller.get());
+  return statuses;
+}
+
+// Guards against holding what a server sends without end until the memory is used up, and against
+// waiting for its end longer than the caller does.
+TEST_CASE("entry: servers that send without end use little memory and time", "[entry]") {
+  entry_deployment deployment({.services = 10, .events = kEvents});
+  deployment.WaitUntilServing();
+  http_call call{"GET", "/lookup/x", {}, ""};
+  std::string first = SignedHead("200 OK", "Transfer-Encoding: chunked\r\n");
+  std::string endless = "x";
+  SECTION("a status line") { first = "HTTP/1.1 200 "; }
+  SECTION("a header") { first = "HTTP/1.1 200 OK\r\nX: "; }
+  SECTION("headers") {
+    first = "HTTP/1.1 200 OK\r\n";
+    endless = "X: y\r\n";
+  }
+  SECTION("a chunk's size") { endless = "0"; }
+  SECTION("a chunk's extension") { first += "5;"; }
+  SECTION("a chunk") { first += "7fffffff\r\n"; }
+  SECTION("chunks") { endless = "10\r\n0123456789abcdef\r\n"; }
+  SECTION("a trailer") { first += "0\r\nX: "; }
+  SECTION("a body of another request") { first = "HTTP/1.1 200 OK\r\nRequest-Id: other-1\r\n\r\n"; }
+  SECTION("an event") {
+    call = {"POST", "/stream/2f", {{"Model", "large"}, {"Token-Usage", "100,60"}}, "prompt"};
+    first = SignedHead("200 OK", "Content-Type: text/event-stream\r\n") + "id: 1\ndata: ";
+  }
+  std::vector<child_process*> servers;
+  for (const auto& service : deployment.services()) servers.push_back(service.get());
+  for (const auto& runner : deployment.runners()) servers.push_back(runner.get());
+  for (child_process* server : servers) {
+    deployment.SetFault(*server, "endless_bytes", endless);
+    deployment.SetFault(*server, "answer_bytes", first);
+  }
+  const time_point started_at = std::chrono::steady_clock::now();
+  const auto statuses = CallAtOnce(deployment, call);
+  CHECK(std::chrono::steady_clock::now() - started_at < kDeadline + std::chrono::seconds(2));
+  for (const unsigned status : statuses) CHECK((status >= 502 && status <= 504));
+  CHECK(PeakKilobytes(deployment.entry()) < kMemoryLimitKilobytes);
+  std::size_t answers = 0;
+  for (child_process* server : servers)
+    answers += deployment.Records(*server, "raw_answers").size();
+  CHECK(answers > 0);
+  CHECK(deployment.entry().Running());
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
