forward: buffer at most 256 KB of a server's response

A server that sent a body without end was read up to 16 MB for each request, so that 160 callers at ten such servers took an entry VM close to its limit of 260 MB, and more callers would have passed it.

A body that is buffered may now have 256 KB; the exchange ends as broken beyond that. Streams, which are not buffered, and responses that are skipped keep the limit of 16 MB under a name of their own.

The test of large bodies guards the change.

--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -132,7 +132,7 @@
   for (int skipped_responses = 0; skipped_responses <= kMaxForeignResponses; ++skipped_responses) {
     parser_.emplace();
     parser_->header_limit(kMaxResponseHeadBytes);
-    parser_->body_limit(core_.options.max_response_bytes);
+    parser_->body_limit(core_.options.max_stream_bytes);
     parser_->skip(plan_.head_only);
     error_code error;
     co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_,
@@ -216,10 +216,7 @@
 
 bool server_exchange::ProcessBytes(std::string_view bytes) {
   if (abort_reason_ != exchange_abort::kNone) return false;
-  if (!pass_events_) {
-    response_.body += bytes;
-    return true;
-  }
+  if (!pass_events_) return AppendToBody(bytes);
   std::string events;
   const auto verdict = splitter_.Feed(bytes, events);
   if (!events.empty()) {
@@ -234,6 +231,15 @@
   return false;
 }
 
+bool server_exchange::AppendToBody(std::string_view bytes) {
+  if (response_.body.size() + bytes.size() > core_.options.max_response_bytes) {
+    failure_ = "the response is too large";
+    return false;
+  }
+  response_.body += bytes;
+  return true;
+}
+
 void server_exchange::RecordResponseStart() {
   response_started_ = true;
   const time_point now = core_.Now();
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -129,6 +129,8 @@
   awaitable<bool> ReadBody();
   awaitable<bool> SkipBody();
   bool ProcessBytes(std::string_view bytes);
+  /// Buffers a part of the body; returns false when the body is too large.
+  bool AppendToBody(std::string_view bytes);
   void RecordResponseStart();
   void CheckStall(time_point now, server_load& load);
   /// Whether the wait for the first event is due to a fault of the server rather than to its queue.
--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -269,6 +269,7 @@
   SECTION("a chunk") { first += "7fffffff\r\n"; }
   SECTION("chunks") { endless = "10\r\n0123456789abcdef\r\n"; }
   SECTION("a trailer") { first += "0\r\nX: "; }
+  SECTION("a body without a length") { first = SignedHead("200 OK", ""); }
   SECTION("a body of another request") { first = "HTTP/1.1 200 OK\r\nRequest-Id: other-1\r\n\r\n"; }
   SECTION("an event") {
     call = {"POST", "/stream/2f", {{"Model", "large"}, {"Token-Usage", "100,60"}}, "prompt"};
@@ -293,5 +294,35 @@
   CHECK(deployment.entry().Running());
 }
 
+// Guards against cutting off a whole stream, or a body of usual size, because of the limit for
+// bodies that are buffered.
+TEST_CASE("entry: large bodies are passed on whole up to the limit, streams beyond it", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  const auto call = [&](std::size_t size) {
+    const std::string body(size, 'x');
+    deployment.SetFault(deployment.service(), "answer_bytes",
+                        SignedAnswer("200 OK", "text/plain", body));
+    const auto answer = deployment.Call("POST", "/once/a", {}, "confirm");
+    REQUIRE(answer);
+    if (answer->status == 200) CHECK(answer->body == body);
+    return answer->status;
+  };
+  CHECK(call(250 * 1024) == 200);
+  CHECK(call(260 * 1024) == 502);
+
+  std::string events;
+  for (int i = 1; i <= 400; ++i) {
+    events += "id: " + std::to_string(i) + "\ndata: " + std::string(1024, 'x') + "\n\n";
+  }
+  for (const auto& runner : deployment.runners()) {
+    deployment.SetFault(*runner, "answer_bytes",
+                        SignedAnswer("200 OK", "text/event-stream", events));
+  }
+  const auto stream = deployment.Stream();
+  REQUIRE(stream);
+  CHECK(stream->body == events);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
