forward: bound the read buffer of a caller's connection

A caller that sent the line of a chunk's size or extension, or a trailer, without end was read into memory until the time-out for a request's body, 10 s; neither the parser nor the buffer had a limit. The buffer now holds at most the configured limit for a head and 64 KB more; the request is refused as malformed beyond that.

Test "a request whose chunk has no end is not read without end" failed before in its three sections: the session still read after 32 MB. "a request with the largest head and body is answered" passed before and guards the limit.

--- a/src/forward/call_session.cc
+++ b/src/forward/call_session.cc
@@ -1,5 +1,6 @@
 #include "forward/call_session.h"
 
+#include <algorithm>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -15,6 +16,9 @@
 
 /// Buffer size, in bytes, of the read that waits for a request.
 constexpr std::size_t kFirstReadSize = 4096;
+/// Bytes, in addition to the limit for a request's head, that are read in advance. The line of a
+/// chunk's size and the trailer, for which the parser has no limit, must fit.
+constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;
 /// Time-out for receiving a whole request body.
 constexpr milliseconds kBodyTimeout{10000};
 
@@ -81,18 +85,20 @@
 awaitable<std::optional<caller_request>> call_session::ReadRequest() {
   const caller_limits limits = Limits();
   expires_at_ = core_.Now() + limits.header_timeout;
+  auto& buffer = channel_->buffer();
+  // The limit for a head may have become lower since the bytes in the buffer were read.
+  buffer.max_size(std::max(buffer.size(), limits.max_header.get() + kMaxReadAheadBytes));
   http::request_parser<http::string_body> parser;
   parser.header_limit(static_cast<std::uint32_t>(limits.max_header.get()));
   parser.body_limit(limits.max_body.get());
   error_code error;
-  co_await http::async_read_header(channel_->socket(), channel_->buffer(), parser,
-                                   StoreError(error));
+  co_await http::async_read_header(channel_->socket(), buffer, parser, StoreError(error));
   if (!error && !parser.is_done()) {
     expires_at_ = core_.Now() + kBodyTimeout;
     if (parser.get()[http::field::expect] == "100-continue") {
       channel_->Send("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    co_await http::async_read(channel_->socket(), channel_->buffer(), parser, StoreError(error));
+    co_await http::async_read(channel_->socket(), buffer, parser, StoreError(error));
   }
   if (error) {
     if (IsMalformed(error) || error == asio::error::operation_aborted) RefuseMalformed(error);
--- a/tests/unit/call_session_test.cc
+++ b/tests/unit/call_session_test.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <string>
+#include <string_view>
 
 #include "platform/header_codec.h"
 #include "tests/unit/run_awaitable.h"
@@ -55,6 +56,32 @@
                                       "\r\n\r\n"));
   }
 
+  /// Sends more than the connection holds while the session reads.
+  void SendInParts(std::string_view text) {
+    caller_.non_blocking(true);
+    RunUntil(context_, [&] {
+      error_code error;
+      text.remove_prefix(caller_.write_some(asio::buffer(text), error));
+      return text.empty();
+    });
+  }
+
+  /// Sends `text` and then `repeated` again and again until the session ends the connection.
+  /// Returns false when the session still reads after `limit` bytes.
+  bool EndsBefore(std::size_t limit, const std::string& text, const std::string& repeated) {
+    asio::write(caller_, asio::buffer(text));
+    caller_.non_blocking(true);
+    std::size_t sent = 0;
+    bool open = true;
+    RunUntil(context_, [&] {
+      error_code error;
+      sent += caller_.write_some(asio::buffer(repeated), error);
+      open = !error || error == asio::error::would_block;
+      return !open || sent > limit;
+    });
+    return !open;
+  }
+
   /// Runs the session until it waits for its caller.
   void RunPending() {
     context_.restart();
@@ -115,6 +142,31 @@
   }
 }
 
+// Guards against using up the memory for what a caller sends without end in place of a body's
+// chunk.
+TEST_CASE("a request whose chunk has no end is not read without end", "[forward]") {
+  session_fixture fixture;
+  const std::string head =
+      "POST /x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: endless\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n";
+  constexpr std::size_t kLimit = std::size_t{32} << 20U;
+  const std::string repeated(std::size_t{64} * 1024, '0');
+  SECTION("in its size") { CHECK(fixture.EndsBefore(kLimit, head, repeated)); }
+  SECTION("in its extension") { CHECK(fixture.EndsBefore(kLimit, head + "5;", repeated)); }
+  SECTION("in the trailer") { CHECK(fixture.EndsBefore(kLimit, head + "0\r\nX: ", repeated)); }
+}
+
+// Guards against taking a request for endless that stays within the limits.
+TEST_CASE("a request with the largest head and body is answered", "[forward]") {
+  session_fixture fixture;
+  const std::string head = "POST /x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: large\r\n";
+  const std::string long_header = "X: " + std::string(std::size_t{16} * 1024 - 200, 'x') + "\r\n";
+  std::string body = "Transfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 3; ++i) body += "100000\r\n" + std::string(0x100000, 'x') + "\r\n";
+  fixture.SendInParts(head + long_header + body + "0\r\n\r\n");
+  CHECK(fixture.AwaitAnswer("large", [] {}));
+}
+
 TEST_CASE("an idle connection is closed by a shutdown and when it expires", "[forward]") {
   session_fixture fixture;
   fixture.RunPending();
