platform: bound the read buffer of the HTTP client

The client, through which reports and orders of servers and the store are read, held the line of a chunk's size or extension, or a trailer, without end until its time-out. Its buffer now holds at most 64 KB, four times the limit for a head.

Test "an answer whose chunk has no end fails before the time-out" failed before: the client read 32 MB and ended with the time-out.

--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -21,6 +21,9 @@
 using tcp_stream = beast::tcp_stream;
 
 constexpr std::uint32_t kHeaderLimit = 16 * 1024;
+/// Maximum number of bytes that are read in advance; bounds a chunk's size line and a trailer, for
+/// which the parser has no limit.
+constexpr std::size_t kMaxBufferBytes = std::size_t{64} * 1024;
 constexpr std::size_t kMaxIdlePerAddress = 4;
 // Shorter than the idle time-outs common in servers, so that reuse rarely meets a closed
 // connection.
@@ -106,7 +109,7 @@
       co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return FailedAttempt("sending", error);
 
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxBufferBytes);
   http::response_parser<http::string_body> parser;
   parser.header_limit(kHeaderLimit);
   parser.body_limit(request.body_limit.get());
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -112,6 +112,17 @@
   REQUIRE(exchange.reply.reason().find("receiving") != std::string::npos);
 }
 
+// Guards against holding what a server sends without end in place of a body's chunk until the
+// memory is used up.
+TEST_CASE("an answer whose chunk has no end fails before the time-out", "[platform]") {
+  http_fixture test;
+  test.server.Add({.endless_bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;"});
+  const http_exchange exchange = test.Run("GET", milliseconds(1000));
+  REQUIRE_FALSE(exchange.reply);
+  INFO(exchange.reply.reason());
+  CHECK(exchange.reply.reason().find("buffer overflow") != std::string::npos);
+}
+
 // Guards against capacity figures that omit the header of a message or a second exchange.
 TEST_CASE("the bytes of every exchange are counted by service", "[platform]") {
   http_fixture test;
--- a/tests/unit/scripted_http_server.h
+++ b/tests/unit/scripted_http_server.h
@@ -34,7 +34,12 @@
     bool stay_silent = false;
     /// Closes the connection after the answer, without announcing it.
     bool close_after = false;
+    /// Written as they are instead of an answer and followed by `kEndlessBytes` zeros; the
+    /// connection then stays open.
+    std::string endless_bytes = {};
   };
+  /// Size of what is sent where the client should not wait for its end.
+  static constexpr std::size_t kEndlessBytes = std::size_t{32} << 20U;
 
   struct seen_request {
     std::string method;
@@ -86,6 +91,14 @@
       const step next = std::move(script_.front());
       script_.pop_front();
       if (next.close_unanswered) co_return;
+      if (!next.endless_bytes.empty()) {
+        const std::string bytes = next.endless_bytes + std::string(kEndlessBytes, '0');
+        silent_.push_back(peer);
+        co_await boost::asio::async_write(
+            *peer, boost::asio::buffer(bytes),
+            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        co_return;
+      }
       if (next.stay_silent) silent_.push_back(peer);
       if (next.stay_silent) co_return;
 
