--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -219,7 +219,7 @@
 
 constexpr std::size_t kCallers = 160;
 /// An entry VM has 260 MB.
-constexpr std::size_t kMemoryLimitKilobytes = 130 * 1024;
+constexpr std::size_t kMemoryLimitKilobytes = std::size_t{130} * 1024;
 constexpr milliseconds kDeadline{2000};
 
 /// Largest memory that the process has had so far.
@@ -246,6 +246,7 @@
     }));
   }
   std::vector<unsigned> statuses;
+  statuses.reserve(callers.size());
   for (auto& caller : callers) statuses.push_back(caller.get());
   return statuses;
 }
@@ -308,8 +309,8 @@
     if (answer->status == 200) CHECK(answer->body == body);
     return answer->status;
   };
-  CHECK(call(250 * 1024) == 200);
-  CHECK(call(260 * 1024) == 502);
+  CHECK(call(std::size_t{250} * 1024) == 200);
+  CHECK(call(std::size_t{260} * 1024) == 502);
 
   std::string events;
   for (int i = 1; i <= 400; ++i) {
