forward: bound the buffered responses together instead of each

Cause: the limit of 256 KB for each response would have turned large sound answers into 502; some hundred endless ones must still not use up the memory. Change: a response may have 16 MB as before, as long as all buffered ones together have at most 32 MB; up to 64 KB are always accepted.

--- a/include/waxwingwing/forward/forward_options.h
+++ b/include/waxwingwing/forward/forward_options.h
@@ -42,11 +42,13 @@
   std::size_t max_sends = 4;
   /// Unsent bytes for one slow caller above which reading from the server's stream is paused.
   std::size_t max_unsent_bytes = std::size_t{64} * 1024;
-  /// Maximum body size of a backend server's response that is buffered, in bytes. Some hundred
-  /// requests to servers that send without end must stay far below a process's memory limit.
-  std::size_t max_response_bytes = std::size_t{256} * 1024;
-  /// Maximum body size of a response that is not buffered, such as a stream, in bytes.
-  std::size_t max_stream_bytes = std::size_t{16} << 20U;
+  /// Maximum body size of a backend server's response, in bytes.
+  std::size_t max_response_bytes = std::size_t{16} << 20U;
+  /// Size up to which the body of a response is buffered in any case, in bytes, and maximum size of
+  /// all buffered bodies together, which larger ones must not exceed. Some hundred requests to
+  /// servers that send without end must stay far below a process's memory limit.
+  std::size_t small_response_bytes = std::size_t{64} * 1024;
+  std::size_t max_buffered_bytes = std::size_t{32} << 20U;
   /// Maximum size of one stream event, in bytes.
   std::size_t max_event_bytes = std::size_t{64} * 1024;
   /// Interval between checks for stalls and expired time limits.
--- a/src/forward/forward_core.h
+++ b/src/forward/forward_core.h
@@ -48,6 +48,8 @@
   std::shared_ptr<const dispatch_map> map = std::make_shared<dispatch_map>();
   /// Exchanges under way; the periodic check looks for stalls and expired limits in them.
   std::set<server_exchange*> exchanges;
+  /// Size of the response bodies that the exchanges hold.
+  std::size_t buffered_bytes = 0;
   bool shutting_down = false;
 };
 
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -47,7 +47,10 @@
   core_.selection.LoadOf(plan_.target.server).RequestSent(started_at_);
 }
 
-server_exchange::~server_exchange() { core_.exchanges.erase(this); }
+server_exchange::~server_exchange() {
+  core_.exchanges.erase(this);
+  core_.buffered_bytes -= response_.body.size();
+}
 
 void server_exchange::Abort(exchange_abort abort_reason) {
   if (abort_reason_ != exchange_abort::kNone) return;
@@ -132,7 +135,7 @@
   for (int skipped_responses = 0; skipped_responses <= kMaxForeignResponses; ++skipped_responses) {
     parser_.emplace();
     parser_->header_limit(kMaxResponseHeadBytes);
-    parser_->body_limit(core_.options.max_stream_bytes);
+    parser_->body_limit(core_.options.max_response_bytes);
     parser_->skip(plan_.head_only);
     error_code error;
     co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_,
@@ -232,11 +235,13 @@
 }
 
 bool server_exchange::AppendToBody(std::string_view bytes) {
-  if (response_.body.size() + bytes.size() > core_.options.max_response_bytes) {
-    failure_ = "the response is too large";
+  const bool is_small = response_.body.size() + bytes.size() <= core_.options.small_response_bytes;
+  if (!is_small && core_.buffered_bytes + bytes.size() > core_.options.max_buffered_bytes) {
+    failure_ = "the response is too large for the buffers that are left";
     return false;
   }
   response_.body += bytes;
+  core_.buffered_bytes += bytes.size();
   return true;
 }
 
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -129,7 +129,7 @@
   awaitable<bool> ReadBody();
   awaitable<bool> SkipBody();
   bool ProcessBytes(std::string_view bytes);
-  /// Buffers a part of the body; returns false when the body is too large.
+  /// Buffers a part of the body; returns false when the buffers that are left do not suffice.
   bool AppendToBody(std::string_view bytes);
   void RecordResponseStart();
   void CheckStall(time_point now, server_load& load);
