forward: refuse requests that arrive late in a shutdown

What callers saw: a request that came seconds after SIGTERM on a connection that an earlier answer's head had promised to keep was begun and cut off when the process ended. Cause: streams whose head was sent before the signal do not ask their caller to close; once such a stream ended, its caller's next request was taken like any other until the end of the process, though idle connections are closed from 2.3 s on. Change: once a VM accepts no more connections, it refuses requests that still arrive as not run, with no delay and closing. Result: the unit test fails without the refusal and passes.

--- a/include/waxwingwing/forward/forwarder.h
+++ b/include/waxwingwing/forward/forwarder.h
@@ -76,7 +76,8 @@
 
   /// Makes all further responses ask the caller to close its connection.
   void BeginShutdown();
-  /// Stops accepting connections and closes the idle ones.
+  /// Stops accepting connections, closes the idle ones, and refuses the requests that still arrive
+  /// on others.
   void StopAccepting();
   /// Number of requests under way.
   std::size_t RunningCalls() const;
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -105,6 +105,8 @@
 
 std::optional<call_refusal> forward_call::RequireConfiguration() {
   request_metadata_ = core_.codec.ReadRequestMetadata(request_.fields);
+  // Another VM takes the request at once.
+  if (core_.refuses_requests) return call_refusal{503, "stopping", milliseconds(0)};
   if (configuration_) return std::nullopt;
   return call_refusal{503, "no_configuration", RetryDelay()};
 }
--- a/src/forward/forward_core.h
+++ b/src/forward/forward_core.h
@@ -51,6 +51,8 @@
   /// Size of the response bodies that the exchanges hold.
   std::size_t buffered_bytes = 0;
   bool shutting_down = false;
+  /// Set late in a shutdown, when too little time is left for further requests.
+  bool refuses_requests = false;
 };
 
 }  // namespace waxwingwing
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -86,6 +86,7 @@
   void StopAccepting() {
     error_code ignored;
     acceptor_.close(ignored);
+    core_.refuses_requests = true;
     for (call_session* session : Sessions()) session->CloseIfIdle();
   }
 
--- a/tests/unit/call_session_test.cc
+++ b/tests/unit/call_session_test.cc
@@ -49,6 +49,7 @@
   }
 
   call_session& session() { return *session_; }
+  forward_core& core() { return core_; }
   manual_clock& clock() { return clock_; }
 
   void SendRequest(const std::string& id) {
@@ -93,6 +94,12 @@
   /// happens.
   template <typename function>
   bool AwaitAnswer(const std::string& id, const function& between) {
+    return AwaitText("Request-Id: " + id, between);
+  }
+
+  /// The same for any text.
+  template <typename function>
+  bool AwaitText(const std::string& text, const function& between) {
     std::string received;
     error_code error;
     const bool ended = RunUntil(context_, [&] {
@@ -102,10 +109,10 @@
       const std::size_t size = caller_.read_some(asio::buffer(bytes), error);
       received.append(bytes, size);
       const bool open = !error || error == asio::error::would_block;
-      return !open || received.find("Request-Id: " + id) != std::string::npos;
+      return !open || received.find(text) != std::string::npos;
     });
     REQUIRE(ended);
-    return received.find("Request-Id: " + id) != std::string::npos;
+    return received.find(text) != std::string::npos;
   }
 
  private:
@@ -167,6 +174,16 @@
   CHECK(fixture.AwaitAnswer("large", [] {}));
 }
 
+// Guards against starting a request that the end of the process would cut off, because its caller's
+// connection was kept open by an answer that had begun before the shutdown.
+TEST_CASE("a request that arrives late in a shutdown is refused as not run", "[forward]") {
+  session_fixture fixture;
+  fixture.RunPending();
+  fixture.core().refuses_requests = true;
+  fixture.SendRequest("late");
+  CHECK(fixture.AwaitText("\"stopping\"", [] {}));
+}
+
 TEST_CASE("an idle connection is closed by a shutdown and when it expires", "[forward]") {
   session_fixture fixture;
   fixture.RunPending();
