--- a/tests/unit/call_session_test.cc
+++ b/tests/unit/call_session_test.cc
@@ -156,11 +156,11 @@
   const std::string head =
       "POST /x HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: endless\r\n"
       "Transfer-Encoding: chunked\r\n\r\n";
-  constexpr std::size_t kLimit = std::size_t{32} << 20U;
+  constexpr std::size_t limit = std::size_t{32} << 20U;
   const std::string repeated(std::size_t{64} * 1024, '0');
-  SECTION("in its size") { CHECK(fixture.EndsBefore(kLimit, head, repeated)); }
-  SECTION("in its extension") { CHECK(fixture.EndsBefore(kLimit, head + "5;", repeated)); }
-  SECTION("in the trailer") { CHECK(fixture.EndsBefore(kLimit, head + "0\r\nX: ", repeated)); }
+  SECTION("in its size") { CHECK(fixture.EndsBefore(limit, head, repeated)); }
+  SECTION("in its extension") { CHECK(fixture.EndsBefore(limit, head + "5;", repeated)); }
+  SECTION("in the trailer") { CHECK(fixture.EndsBefore(limit, head + "0\r\nX: ", repeated)); }
 }
 
 // Guards against taking a request for endless that stays within the limits.
--- a/tests/unit/prompt_quarantine_test.cc
+++ b/tests/unit/prompt_quarantine_test.cc
@@ -141,11 +141,11 @@
 // own requests only, and evidence is exchanged every 250 ms.
 TEST_CASE("under load few requests with a deadly part reach servers, and no sound part is blamed",
           "[quarantine][property]") {
-  constexpr std::size_t kVms = 8;
-  constexpr std::size_t kServers = 12;
+  constexpr std::size_t vm_count = 8;
+  constexpr std::size_t server_count = 12;
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     random_source random(seed);
-    std::vector<prompt_quarantine> vms(kVms, prompt_quarantine({}));
+    std::vector<prompt_quarantine> vms(vm_count, prompt_quarantine({}));
     time_point now{std::chrono::hours(1)};
     std::size_t crashes = 0;
     std::optional<time_point> fifth_crash;
@@ -153,11 +153,11 @@
     for (int step = 0; step < 30000; ++step) {
       now += milliseconds(1);
       if (step % 250 == 0) {
-        for (std::size_t vm = 1; vm < kVms; ++vm) vms[0].Merge(vms[vm].OwnEvidence(), now);
-        for (std::size_t vm = 1; vm < kVms; ++vm) vms[vm].Merge(vms[0].AllEvidence(), now);
+        for (std::size_t vm = 1; vm < vm_count; ++vm) vms[0].Merge(vms[vm].OwnEvidence(), now);
+        for (std::size_t vm = 1; vm < vm_count; ++vm) vms[vm].Merge(vms[0].AllEvidence(), now);
       }
       if (random.Below(12) != 0) continue;
-      prompt_quarantine& vm = vms[random.Below(kVms)];
+      prompt_quarantine& vm = vms[random.Below(vm_count)];
       const prompt_part_id shared("shared-" + std::to_string(random.Below(60)));
       const prompt_part_id session("session-" + std::to_string(random.Below(60)));
       const bool deadly = step > 4000 && random.Below(20) == 0;
@@ -173,7 +173,7 @@
       if (fifth_crash && now - *fifth_crash > seconds(3)) ++late_sends;
       if (++crashes == 5) fifth_crash = now;
       // Others of the same caller wait at the server that crashes.
-      vm.RecordCrash(Server(random.Below(kServers)), {prompt, {shared, session}}, now);
+      vm.RecordCrash(Server(random.Below(server_count)), {prompt, {shared, session}}, now);
     }
     CHECK(late_sends <= 3);
   }
