--- a/tests/unit/prompt_quarantine_test.cc
+++ b/tests/unit/prompt_quarantine_test.cc
@@ -94,6 +94,22 @@
   CHECK_FALSE(restarted.IsQuarantined(kShared));
 }
 
+// Guards against forgetting an answer before other VMs, which suspect the part, have heard of it.
+TEST_CASE("an answer that cleared a part is still reported to other VMs", "[quarantine]") {
+  quarantine_fixture suspecting;
+  quarantine_fixture answering;
+  suspecting.Crash(0, {{kShared}});
+  answering.now = suspecting.now;
+  answering.quarantine.Merge(suspecting.quarantine.OwnEvidence(), answering.now);
+  answering.now += milliseconds(50);
+  answering.Answer(kShared);
+  answering.now += milliseconds(50);
+  answering.quarantine.Merge(suspecting.quarantine.OwnEvidence(), answering.now);
+  const auto reported = answering.quarantine.OwnEvidence();
+  REQUIRE(reported.size() == 1);
+  CHECK(reported.front().answered_at.has_value());
+}
+
 TEST_CASE("servers that crash at the same time for another cause implicate no part",
           "[quarantine]") {
   quarantine_fixture fixture;
