quarantine: keep a cleared part so that other VMs hear of the answer

Callers of a VM that has just started could get 503 prompt_crashes_servers for up to 60 s for sound requests: an answer that clears a part was forgotten together with the part, so the VMs that still suspected it never heard of it.

A part is now kept for the time for which crashes are remembered after its last crash, whether or not an answer has cleared it; only VMs that suspect the part take such an answer over.

--- a/include/waxwingwing/quarantine/prompt_quarantine.h
+++ b/include/waxwingwing/quarantine/prompt_quarantine.h
@@ -49,6 +49,8 @@
   /// When an answer to a request with the part last succeeded; empty when none is remembered.
   std::optional<time_point> answered_at;
   std::optional<time_point> quarantined_at;
+  /// The latest crash, also if an answer has cleared it since.
+  std::optional<time_point> last_crash_at;
 };
 
 /// Finds parts of prompts that crash every server that begins to answer a request with them, and
@@ -87,6 +89,8 @@
   std::size_t CrashLimit(const part_evidence& evidence) const;
   /// Whether nothing about the part needs to be kept any longer.
   bool IsOutdated(const part_evidence& evidence, time_point now) const;
+  /// Whether the evidence of another VM adds to what is known here.
+  bool IsRelevant(const part_evidence& reported, time_point now) const;
   /// Quarantines the part when the evidence suffices; returns whether that is new.
   bool Judge(part_evidence& evidence, time_point now) const;
   /// Number of crashes after `since` that are `crash_spacing` apart.
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -88,10 +88,10 @@
 std::vector<part_evidence> FromMessage(const crash_evidence_message& message, time_point now) {
   std::vector<part_evidence> evidence;
   for (const part_evidence_message& part : message.parts) {
-    part_evidence known{prompt_part_id(part.part),
-                        {},
-                        TimeOf(part.answered_age, now),
-                        TimeOf(part.quarantined_age, now)};
+    part_evidence known;
+    known.part = prompt_part_id(part.part);
+    known.answered_at = TimeOf(part.answered_age, now);
+    known.quarantined_at = TimeOf(part.quarantined_age, now);
     for (const server_crash_message& crash : part.crashes) {
       known.crashes.push_back({backend_server_id(crash.server), now - crash.age});
     }
--- a/src/quarantine/prompt_quarantine.cc
+++ b/src/quarantine/prompt_quarantine.cc
@@ -9,7 +9,7 @@
 namespace {
 
 time_point LastCrash(const part_evidence& evidence) {
-  time_point last{};
+  time_point last = evidence.last_crash_at.value_or(time_point{});
   for (const server_crash& crash : evidence.crashes) last = std::max(last, crash.at);
   return last;
 }
@@ -50,6 +50,7 @@
 
 void prompt_quarantine::AddCrash(part_evidence& evidence, const backend_server_id& server,
                                  time_point at) const {
+  TakeLater(evidence.last_crash_at, at);
   for (server_crash& known : evidence.crashes) {
     if (known.server != server) continue;
     if (std::max(known.at, at) - std::min(known.at, at) > options_.observation_spread) continue;
@@ -93,7 +94,7 @@
                                                      time_point now) {
   std::vector<prompt_part_id> quarantined;
   for (const part_evidence& reported : evidence) {
-    if (IsOutdated(reported, now)) continue;
+    if (!IsRelevant(reported, now)) continue;
     part_evidence& known = all_[reported.part];
     known.part = reported.part;
     const bool was_quarantined = IsQuarantined(known, now);
@@ -180,16 +181,18 @@
   if (evidence.quarantined_at) {
     return now > *evidence.quarantined_at + options_.quarantine_time + options_.memory;
   }
-  // An answer alone is of use only to VMs that suspect the part.
-  if (evidence.crashes.empty()) return !evidence.answered_at || !all_.contains(evidence.part);
+  // A cleared part is kept as well, so that VMs that still suspect it hear of the answer.
   return now > LastCrash(evidence) + options_.memory;
 }
 
+bool prompt_quarantine::IsRelevant(const part_evidence& reported, time_point now) const {
+  if (!reported.crashes.empty() || reported.quarantined_at) return !IsOutdated(reported, now);
+  // An answer alone is of use only to VMs that suspect the part.
+  return reported.answered_at && all_.contains(reported.part);
+}
+
 void prompt_quarantine::Prune(time_point now) {
-  const auto is_outdated = [&](const auto& item) {
-    return IsOutdated(item.second, now) ||
-           (item.second.crashes.empty() && !item.second.quarantined_at);
-  };
+  const auto is_outdated = [&](const auto& item) { return IsOutdated(item.second, now); };
   std::erase_if(own_, is_outdated);
   std::erase_if(all_, is_outdated);
   while (all_.size() > options_.max_suspects) {
