dispatch: rename cold_rate_limits to shared_rate_limits

The class divides any rate that all VMs together may use; cold servers are one case of it. Old name to new name: cold_rate_limits -> shared_rate_limits (class and files). No change in behaviour.

--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -9,7 +9,7 @@
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/random_source.h"
-#include "waxwingwing/dispatch/cold_rate_limits.h"
+#include "waxwingwing/dispatch/shared_rate_limits.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_load.h"
 #include "waxwingwing/dispatch/server_requests.h"
@@ -85,7 +85,7 @@
   /// This VM's share of the work of all VMs, as last confirmed; 0 before the first confirmation.
   double share_ = 0;
   std::map<backend_server_id, server_load> loads_;
-  cold_rate_limits cold_;
+  shared_rate_limits cold_;
 };
 
 }  // namespace waxwingwing
--- a/include/waxwingwing/dispatch/cold_rate_limits.h
+++ b/include/waxwingwing/dispatch/shared_rate_limits.h
@@ -15,7 +15,7 @@
 /// by a hash of the server's id; only the VMs that hold these partitions send to it. The number of
 /// selected partitions is bounded, so that the combined burst of their holders stays within the
 /// server's limit even when there are many VMs.
-class cold_rate_limits {
+class shared_rate_limits {
  public:
   /// Sets the partitions that this VM holds: none while the store has not confirmed them.
   void SetPartitions(const work_partitions& partitions);
--- a/src/dispatch/cold_rate_limits.cc
+++ b/src/dispatch/shared_rate_limits.cc
@@ -1,4 +1,4 @@
-#include "waxwingwing/dispatch/cold_rate_limits.h"
+#include "waxwingwing/dispatch/shared_rate_limits.h"
 
 #include <algorithm>
 #include <cmath>
@@ -15,13 +15,13 @@
 
 }  // namespace
 
-void cold_rate_limits::SetPartitions(const work_partitions& partitions) {
+void shared_rate_limits::SetPartitions(const work_partitions& partitions) {
   if (partitions == partitions_) return;
   partitions_ = partitions;
   buckets_.clear();
 }
 
-cold_rate_limits::bucket cold_rate_limits::MakeBucket(const backend_server_id& server, double rate,
+shared_rate_limits::bucket shared_rate_limits::MakeBucket(const backend_server_id& server, double rate,
                                                       time_point now) const {
   const auto selected_count =
       static_cast<std::uint64_t>(std::max(1.0, std::floor(rate * kBurstFraction)));
@@ -36,7 +36,7 @@
   return made;
 }
 
-bool cold_rate_limits::MaySend(const backend_server_id& server, double rate, time_point now) {
+bool shared_rate_limits::MaySend(const backend_server_id& server, double rate, time_point now) {
   if (partitions_.held.empty()) return false;
   const auto [found, is_new] = buckets_.try_emplace(server);
   bucket& bucket = found->second;
@@ -47,11 +47,11 @@
   return bucket.tokens >= 1;
 }
 
-void cold_rate_limits::ConsumeToken(const backend_server_id& server) {
+void shared_rate_limits::ConsumeToken(const backend_server_id& server) {
   buckets_[server].tokens -= 1;
 }
 
-void cold_rate_limits::Prune(const std::function<bool(const backend_server_id&)>& is_known) {
+void shared_rate_limits::Prune(const std::function<bool(const backend_server_id&)>& is_known) {
   std::erase_if(buckets_, [&](const auto& item) { return !is_known(item.first); });
 }
 
--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -3,7 +3,7 @@
 #include <vector>
 
 #include "waxwingwing/directory/registration_poll_interval.h"
-#include "waxwingwing/dispatch/cold_rate_limits.h"
+#include "waxwingwing/dispatch/shared_rate_limits.h"
 #include "waxwingwing/routing/service_retry_budgets.h"
 
 namespace waxwingwing {
@@ -26,12 +26,12 @@
 /// All VMs send as much as they may during the first `busy` of every two seconds and are idle for
 /// the rest, in which tokens accumulate.
 std::size_t MaxRequestsPerSecond(std::size_t vms, duration busy) {
-  std::vector<cold_rate_limits> limits(vms);
+  std::vector<shared_rate_limits> limits(vms);
   for (std::size_t vm = 0; vm < vms; ++vm) limits[vm].SetPartitions(PartitionsOf(vm, vms));
   std::vector<time_point> sent;
   for (time_point now = kStart; now < kStart + std::chrono::seconds(6); now += milliseconds(10)) {
     const bool wanted = (now - kStart) % std::chrono::seconds(2) < busy;
-    for (cold_rate_limits& limit : limits) {
+    for (shared_rate_limits& limit : limits) {
       if (!limit.MaySend(kServer, kColdRate, now) || !wanted) continue;
       limit.ConsumeToken(kServer);
       sent.push_back(now);
@@ -63,7 +63,7 @@
 
 TEST_CASE("a VM whose parts of the work are not confirmed sends no requests to a cold server",
           "[dispatch]") {
-  cold_rate_limits limits;
+  shared_rate_limits limits;
   limits.SetPartitions(PartitionsOf(0, 1));
   CHECK(!limits.MaySend(kServer, kColdRate, kStart));
   CHECK(limits.MaySend(kServer, kColdRate, kStart + std::chrono::seconds(1)));
