routing: log how the retry budgets are used

Each VM now logs the requests, the retries taken and denied, the balance and the burst of each service's budget every 10 s (retry_usage).

--- a/include/waxwingwing/routing/retry_budget.h
+++ b/include/waxwingwing/routing/retry_budget.h
@@ -18,11 +18,13 @@
   void SetBurst(double burst);
   /// Takes one retry from the budget; returns false when the budget is exhausted.
   bool TryTake();
+  /// Number of retries that can be taken now.
+  double balance() const;
 
  private:
   const double fraction_;
   double burst_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   double balance_;
 };
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -35,7 +35,7 @@
 constexpr int kStartError = 1;
 constexpr int kUsageError = 2;
 constexpr milliseconds kLogFlushInterval{100};
-/// Interval at which the number of calls to the store is logged.
+/// Interval at which the numbers of calls to the store and of retries are logged.
 constexpr std::chrono::seconds kUsageInterval{10};
 /// The load balancer removes a VM after two failed checks one second apart; until then it routes
 /// new callers here.
@@ -196,6 +196,14 @@
       for (const auto& [purpose, calls] : store_.calls()) {
         log_.Write("store_usage", {{"purpose", purpose}, {"calls", calls}});
       }
+      for (const auto& [service, usage] : retries_.Usage()) {
+        log_.Write("retry_usage", {{"service", service.str()},
+                                   {"requests", usage.requests},
+                                   {"taken", usage.taken},
+                                   {"denied", usage.denied},
+                                   {"balance", usage.balance},
+                                   {"burst", usage.burst}});
+      }
     }
   }
 
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -31,6 +31,11 @@
   burst_ = burst;
 }
 
+double retry_budget::balance() const {
+  const std::lock_guard lock(mutex_);
+  return balance_;
+}
+
 bool retry_budget::TryTake() {
   const std::lock_guard lock(mutex_);
   if (balance_ < 1 - kTolerance) return false;
