--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -1,7 +1,10 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <numeric>
 #include <vector>
 
+#include "waxwingwing/core/random_source.h"
 #include "waxwingwing/directory/registration_poll_interval.h"
 #include "waxwingwing/dispatch/shared_rate_limits.h"
 #include "waxwingwing/routing/service_retry_budgets.h"
@@ -100,6 +103,89 @@
   CHECK(!budget.TryTake(service_id("desk")));
 }
 
+/// Retries that `kBusyVms` VMs take, all of which retry as often as they may while their processes
+/// start again and the store deals its partitions anew among changing members.
+class retrying_fleet {
+ public:
+  static constexpr std::size_t kBusyVms = 63;
+  static constexpr double kRatio = 0.2;
+  static constexpr double kSlack = 310;
+  static constexpr int kWindowSteps = 100;
+
+  explicit retrying_fleet(std::uint64_t seed) : random_(seed) {
+    for (std::size_t vm = 0; vm < kBusyVms; ++vm) budgets_.push_back(NewProcess());
+  }
+
+  /// Plays one tenth of a second.
+  void Step(int step) {
+    if (step % 4 == 0) Deal();
+    if (step % 10 == 0) budgets_[random_.Below(kBusyVms)] = NewProcess();
+    std::size_t retries = 0;
+    for (std::size_t vm = 0; vm < kBusyVms; ++vm) {
+      for (int request = 0; request < kRequestsPerStep; ++request) {
+        budgets_[vm]->RecordRequest(service_);
+        while (budgets_[vm]->TryTake(service_)) ++retries;
+      }
+    }
+    retries_.push_back(retries);
+  }
+
+  /// Retries of the last window.
+  std::size_t WindowRetries() const {
+    const auto first = retries_.size() > kWindowSteps ? retries_.end() - kWindowSteps
+                                                      : retries_.begin();
+    return std::accumulate(first, retries_.end(), std::size_t{0});
+  }
+  static double Allowed() {
+    return kRatio * kRequestsPerStep * kBusyVms * kWindowSteps + kSlack;
+  }
+
+ private:
+  static constexpr int kRequestsPerStep = 1;
+  /// Part of the joint budget that the VMs use.
+  static constexpr double kUsedPart = 0.7;
+
+  static std::unique_ptr<service_retry_budgets> NewProcess() {
+    return std::make_unique<service_retry_budgets>(kRatio * kUsedPart, kSlack * kUsedPart);
+  }
+
+  /// Deals all partitions among some of the VMs; the others hold none.
+  void Deal() {
+    std::vector<std::size_t> held(kBusyVms, 0);
+    const std::size_t members = 20 + random_.Below(kBusyVms - 20);
+    for (std::size_t i = 0; i < kPartitionCount; ++i) ++held[random_.Below(members)];
+    for (std::size_t vm = kBusyVms - 1; vm > 0; --vm) {
+      std::swap(held[vm], held[random_.Below(vm + 1)]);
+    }
+    for (std::size_t vm = 0; vm < kBusyVms; ++vm) {
+      budgets_[vm]->SetShare(static_cast<double>(held[vm]) / kPartitionCount);
+    }
+  }
+
+  const service_id service_{"pool"};
+  random_source random_;
+  std::vector<std::unique_ptr<service_retry_budgets>> budgets_;
+  std::vector<std::size_t> retries_;
+};
+
+// Guards against repeats beyond what all VMs together may make, because budgets were refilled when
+// processes started again and when shares of the slack moved from VM to VM.
+TEST_CASE("load pattern: restarts and changing shares do not add to the joint retry budget",
+          "[routing][load]") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    retrying_fleet fleet(seed);
+    std::size_t most = 0;
+    for (int step = 0; step < 3 * retrying_fleet::kWindowSteps; ++step) {
+      fleet.Step(step);
+      most = std::max(most, fleet.WindowRetries());
+    }
+    INFO("seed " << seed);
+    CHECK(static_cast<double>(most) <= retrying_fleet::Allowed());
+    // The budgets are used, not merely kept small.
+    CHECK(static_cast<double>(most) > retrying_fleet::Allowed() / 3);
+  }
+}
+
 TEST_CASE("registrations are polled frequently only by the controller and after a mismatch",
           "[directory]") {
   registration_poll_interval pace(milliseconds(2000));
