routing: let retry budgets grow by requests only

A new process began with a full budget, and a VM whose share of the slack grew got the difference at once, although its earlier process, or the VM that had held that share, might just have used it.

A budget now begins with one retry, additional capacity is empty, and only requests fill it. The retries of any time are then at most the balances at its start, which the capacities limit together, and the part of its requests.

--- a/include/waxwingwing/routing/service_retry_budgets.h
+++ b/include/waxwingwing/routing/service_retry_budgets.h
@@ -10,6 +10,10 @@
 
 /// Keeps one retry budget for each service, so that retries of one service do not use up the budget
 /// that requests of another service filled. Not thread-safe.
+///
+/// The slack is divided among the VMs by their shares. A budget begins almost empty and grows by
+/// requests only: an earlier process of this VM, or the VM that had a share before, may just have
+/// used the whole of it.
 class service_retry_budgets {
  public:
   /// `fraction` is the number of retries allowed per request; `slack` is the number of retries that
--- a/src/routing/retry_budget.cc
+++ b/src/routing/retry_budget.cc
@@ -12,10 +12,11 @@
 
 }  // namespace
 
-retry_budget::retry_budget(double fraction, double burst)
-    : fraction_(fraction), burst_(burst), balance_(burst) {
+retry_budget::retry_budget(double fraction, double burst, double balance)
+    : fraction_(fraction), burst_(burst), balance_(balance) {
   assert(fraction >= 0);
   assert(burst >= 0);
+  assert(balance >= 0 && balance <= burst);
 }
 
 void retry_budget::RecordRequest() {
@@ -26,8 +27,8 @@
 void retry_budget::SetBurst(double burst) {
   assert(burst >= 0);
   const std::lock_guard lock(mutex_);
-  // Additional capacity is available at once, as the whole capacity is at the start.
-  balance_ = std::clamp(balance_ + burst - burst_, 0.0, burst);
+  // The retries of additional capacity may have been taken by the VM that had it before.
+  balance_ = std::min(balance_, burst);
   burst_ = burst;
 }
 
--- a/src/routing/service_retry_budgets.cc
+++ b/src/routing/service_retry_budgets.cc
@@ -5,13 +5,14 @@
 namespace waxwingwing {
 namespace {
 
-/// Burst of a VM whose share of the slack is below one retry: it may still retry a single request.
+/// Burst of a VM whose share of the slack is below one retry, and balance of a new budget: a single
+/// request may still be retried.
 constexpr double kMinBurst = 1;
 
 }  // namespace
 
 service_retry_budgets::service_budget::service_budget(double fraction, double burst)
-    : budget(fraction, burst) {}
+    : budget(fraction, burst, kMinBurst) {}
 
 double service_retry_budgets::Burst() const { return std::max(kMinBurst, slack_ * share_); }
 
