dispatch: send nothing more to a server that says it is leaving

What servers state about themselves in answers was read nowhere; a VM knew of a leaving server from the list of servers only, and so not while the store was away or late.

Every answer of a server is now read for its statement that it leaves, also a refusal and an answer to another request. The statement belongs to the server's incarnation, outlives a lapsed registration and an answer without it, and is bounded in memory. Such a server is not selected for new requests, resumptions or repeats, and a request whose connection was still being made is not sent to it. The checks of a selection are one table of named conditions, each with its end.

--- a/include/waxwingwing/dispatch/dispatch_map.h
+++ b/include/waxwingwing/dispatch/dispatch_map.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,6 +17,8 @@
 /// A backend server to which requests for a service, or for one of its models, may be sent.
 struct dispatch_candidate {
   backend_server_id server;
+  /// Unix time in milliseconds at which this incarnation of the server started.
+  std::uint64_t born = 0;
   std::string address;
   failure_domain_id failure_domain;
   /// The group that the server heads; empty for plain services.
--- /dev/null
+++ b/include/waxwingwing/dispatch/server_notices.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/units.h"
+#include "waxwingwing/directory/backend_server.h"
+
+namespace waxwingwing {
+
+/// What a backend server states about itself in a response.
+struct server_notice {
+  /// The server is leaving; it states so in all its responses from then on.
+  bool leaving = false;
+};
+
+/// Limits of a `server_notices`.
+struct server_notice_options {
+  /// How long the notices of a server are kept that is not registered.
+  std::chrono::seconds unregistered_lifetime{600};
+  std::size_t max_servers = 4096;
+};
+
+/// What backend servers have stated about themselves, by server and incarnation.
+///
+/// A server that starts again, which its registration shows, begins without notices. Notices outlive
+/// a registration that has lapsed. Use from one thread.
+class server_notices {
+ public:
+  explicit server_notices(const server_notice_options& options = {}) : options_(options) {}
+
+  /// Which notices of a response were news.
+  struct changes {
+    bool leaving = false;
+  };
+
+  /// Records the notice of a server's incarnation `born`.
+  changes Record(const backend_server_id& server, std::uint64_t born, const server_notice& notice,
+                 time_point now);
+
+  bool IsLeaving(const backend_server_id& server, std::uint64_t born) const;
+
+  /// Removes notices of servers for which `is_known` returns false after some time.
+  void Prune(const std::function<bool(const backend_server_id&)>& is_known, time_point now);
+
+ private:
+  struct known_notices {
+    std::uint64_t born = 0;
+    bool leaving = false;
+    time_point updated_at{};
+  };
+
+  const known_notices* Find(const backend_server_id& server, std::uint64_t born) const;
+  /// The notices of an incarnation; null for an incarnation before the known one.
+  known_notices* FindOrAdd(const backend_server_id& server, std::uint64_t born, time_point now);
+  static bool IsEmpty(const known_notices& notices);
+
+  const server_notice_options options_;
+  std::map<backend_server_id, known_notices> notices_;
+};
+
+}  // namespace waxwingwing
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <optional>
@@ -12,6 +13,7 @@
 #include "waxwingwing/dispatch/shared_rate_limits.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_load.h"
+#include "waxwingwing/dispatch/server_notices.h"
 #include "waxwingwing/dispatch/server_requests.h"
 
 namespace waxwingwing {
@@ -21,7 +23,7 @@
   kNone,
   /// No server of the service, or no group of the model, is known.
   kNoServer,
-  /// All were tried already, failed recently or are stalled.
+  /// All were tried already, failed recently, are stalled or leave.
   kAllSuspended,
   /// All have as many requests as they can start in time, or have reached their cold rate.
   kAllFull,
@@ -29,6 +31,16 @@
 
 const char* NameOf(selection_failure failure);
 
+/// A condition that keeps a server from being selected.
+struct server_exclusion {
+  /// Name of the condition, for log lines.
+  const char* reason = "";
+  /// Why no server was selected, if it applies to all of them.
+  selection_failure failure = selection_failure::kNone;
+  /// When the condition ends; `time_point::max()` when that is not known.
+  time_point until{};
+};
+
 /// Limits and weights of a `server_selection`.
 struct selection_options {
   /// Limit of this VM's requests at one plain server whose answer has not begun, per slot of the
@@ -57,6 +69,15 @@
   bool CanSelect(const std::vector<dispatch_candidate>& candidates,
                  const std::set<backend_server_id>& excluded, time_point now);
 
+  /// The first condition that excludes the server now, other than that it was tried already.
+  std::optional<server_exclusion> ExclusionOf(const dispatch_candidate& candidate, time_point now);
+
+  /// Records what a server has stated about itself in a response.
+  server_notices::changes RecordNotice(const dispatch_candidate& server,
+                                       const server_notice& notice, time_point now);
+  /// Whether the server has stated since it was selected that it wants no more requests.
+  bool IsWithdrawn(const dispatch_candidate& server, time_point now) const;
+
   /// Returns the number of this VM's requests at each server that has any.
   server_requests OwnRequests() const;
   /// Sets the number of requests of all other VMs at each server; servers that are not in
@@ -65,10 +86,23 @@
 
   server_load& LoadOf(const backend_server_id& server) { return loads_[server]; }
   /// Removes the state of servers that have no request and for which `is_known` returns false.
-  void Prune(const std::function<bool(const backend_server_id&)>& is_known);
+  void Prune(const std::function<bool(const backend_server_id&)>& is_known, time_point now);
 
  private:
-  bool IsWithinColdRate(const dispatch_candidate& candidate, time_point now);
+  /// Returns the end of a condition that excludes the server now; nothing when it does not apply.
+  using condition_check = std::optional<time_point> (server_selection::*)(const dispatch_candidate&,
+                                                                          time_point);
+  struct condition {
+    const char* reason;
+    selection_failure failure;
+    condition_check check;
+  };
+  static const std::array<condition, 4> kConditions;
+
+  std::optional<time_point> CheckLeaving(const dispatch_candidate& candidate, time_point now);
+  std::optional<time_point> CheckSuspension(const dispatch_candidate& candidate, time_point now);
+  std::optional<time_point> CheckCapacity(const dispatch_candidate& candidate, time_point now);
+  std::optional<time_point> CheckColdRate(const dispatch_candidate& candidate, time_point now);
   /// Returns the candidate with the lowest score; compares only a random sample of groups. Reorders
   /// `usable`, which must not be empty.
   const dispatch_candidate* LeastLoaded(std::vector<const dispatch_candidate*>& usable,
@@ -85,6 +119,7 @@
   /// This VM's share of the work of all VMs, as last confirmed; 0 before the first confirmation.
   double share_ = 0;
   std::map<backend_server_id, server_load> loads_;
+  server_notices notices_;
   shared_rate_limits cold_;
 };
 
--- a/include/waxwingwing/forward/call_codec.h
+++ b/include/waxwingwing/forward/call_codec.h
@@ -9,6 +9,7 @@
 #include "waxwingwing/core/ids.h"
 #include "waxwingwing/core/units.h"
 #include "waxwingwing/directory/backend_server.h"
+#include "waxwingwing/dispatch/server_notices.h"
 
 namespace waxwingwing {
 
@@ -57,6 +58,8 @@
   std::optional<milliseconds> idle_limit;
   /// The server that the responding server names as the reason why it could not run the request.
   backend_server_id blamed;
+  /// What the server states about itself.
+  server_notice notice;
 };
 
 /// Translates between the HTTP headers that a deployment uses and the types of this library.
--- a/src/dispatch/dispatch_map.cc
+++ b/src/dispatch/dispatch_map.cc
@@ -12,6 +12,7 @@
 dispatch_candidate CandidateOf(const server_directory::entry& known) {
   dispatch_candidate candidate;
   candidate.server = known.server.id;
+  candidate.born = known.server.born;
   candidate.address = known.server.address;
   candidate.failure_domain = known.server.failure_domain;
   candidate.slots = known.server.slots;
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -33,6 +33,13 @@
   return kNames.at(static_cast<std::size_t>(failure));
 }
 
+const std::array<server_selection::condition, 4> server_selection::kConditions = {{
+    {"leaving", selection_failure::kAllSuspended, &server_selection::CheckLeaving},
+    {"suspended", selection_failure::kAllSuspended, &server_selection::CheckSuspension},
+    {"full", selection_failure::kAllFull, &server_selection::CheckCapacity},
+    {"cold_rate", selection_failure::kAllFull, &server_selection::CheckColdRate},
+}};
+
 server_selection::server_selection(selection_options options, failure_domain_id own_domain,
                                    random_source random)
     : options_(options), own_domain_(std::move(own_domain)), random_(random) {}
@@ -56,15 +63,16 @@
   for (const dispatch_candidate& candidate : candidates) {
     server_load& load = loads_[candidate.server];
     if (!candidate.group.empty()) load.SetFirstWindow(FirstWindow(candidate));
-    if (excluded.contains(candidate.server) || load.IsSuspended(now)) {
+    if (excluded.contains(candidate.server)) {
       failure = std::max(failure, selection_failure::kAllSuspended);
       continue;
     }
-    if (IsFull(candidate, load) || !IsWithinColdRate(candidate, now)) {
-      failure = selection_failure::kAllFull;
-      continue;
+    const auto exclusion = ExclusionOf(candidate, now);
+    if (exclusion) {
+      failure = std::max(failure, exclusion->failure);
+    } else {
+      usable.push_back(&candidate);
     }
-    usable.push_back(&candidate);
   }
   if (usable.empty()) return nullptr;
   failure = selection_failure::kNone;
@@ -100,12 +108,54 @@
                                  const std::set<backend_server_id>& excluded, time_point now) {
   return std::any_of(candidates.begin(), candidates.end(),
                      [&](const dispatch_candidate& candidate) {
-                       const server_load& load = loads_[candidate.server];
-                       return !excluded.contains(candidate.server) && !load.IsSuspended(now) &&
-                              !IsFull(candidate, load) && IsWithinColdRate(candidate, now);
+                       return !excluded.contains(candidate.server) && !ExclusionOf(candidate, now);
                      });
 }
 
+std::optional<server_exclusion> server_selection::ExclusionOf(const dispatch_candidate& candidate,
+                                                              time_point now) {
+  for (const condition& known : kConditions) {
+    const auto until = (this->*known.check)(candidate, now);
+    if (until) return server_exclusion{known.reason, known.failure, *until};
+  }
+  return std::nullopt;
+}
+
+std::optional<time_point> server_selection::CheckLeaving(const dispatch_candidate& candidate,
+                                                         time_point /*now*/) {
+  if (!notices_.IsLeaving(candidate.server, candidate.born)) return std::nullopt;
+  return time_point::max();
+}
+
+std::optional<time_point> server_selection::CheckSuspension(const dispatch_candidate& candidate,
+                                                            time_point now) {
+  const server_load& load = loads_[candidate.server];
+  return load.IsSuspended(now) ? load.suspended_until() : std::nullopt;
+}
+
+std::optional<time_point> server_selection::CheckCapacity(const dispatch_candidate& candidate,
+                                                          time_point /*now*/) {
+  if (!IsFull(candidate, loads_[candidate.server])) return std::nullopt;
+  return time_point::max();
+}
+
+std::optional<time_point> server_selection::CheckColdRate(const dispatch_candidate& candidate,
+                                                          time_point now) {
+  if (candidate.cold_rate <= 0 || now >= candidate.cold_until) return std::nullopt;
+  if (cold_.MaySend(candidate.server, candidate.cold_rate, now)) return std::nullopt;
+  return candidate.cold_until;
+}
+
+server_notices::changes server_selection::RecordNotice(const dispatch_candidate& server,
+                                                       const server_notice& notice,
+                                                       time_point now) {
+  return notices_.Record(server.server, server.born, notice, now);
+}
+
+bool server_selection::IsWithdrawn(const dispatch_candidate& server, time_point /*now*/) const {
+  return notices_.IsLeaving(server.server, server.born);
+}
+
 bool server_selection::IsFull(const dispatch_candidate& candidate, const server_load& load) const {
   if (candidate.group.empty()) {
     const double limit = options_.waiting_per_slot * static_cast<double>(candidate.slots);
@@ -114,11 +164,6 @@
   return static_cast<double>(load.running()) >= load.window();
 }
 
-bool server_selection::IsWithinColdRate(const dispatch_candidate& candidate, time_point now) {
-  if (candidate.cold_rate <= 0 || now >= candidate.cold_until) return true;
-  return cold_.MaySend(candidate.server, candidate.cold_rate, now);
-}
-
 server_requests server_selection::OwnRequests() const {
   server_requests requests;
   for (const auto& [server, load] : loads_) {
@@ -145,10 +190,12 @@
   return score + random_.Fraction() * kRandomLoad;
 }
 
-void server_selection::Prune(const std::function<bool(const backend_server_id&)>& is_known) {
+void server_selection::Prune(const std::function<bool(const backend_server_id&)>& is_known,
+                             time_point now) {
   std::erase_if(loads_, [&](const auto& item) {
     return item.second.running() == 0 && !is_known(item.first);
   });
+  notices_.Prune(is_known, now);
   cold_.Prune(is_known);
 }
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -176,7 +176,8 @@
     formation_.Wake();
     if (!state_.configuration) return;
     selection_.Prune(
-        [this](const backend_server_id& id) { return state_.directory.Find(id) != nullptr; });
+        [this](const backend_server_id& id) { return state_.directory.Find(id) != nullptr; },
+        clock_.Now());
     forwarder_.SetConfiguration(state_.configuration);
     auto map = std::make_shared<dispatch_map>(state_.directory, *state_.configuration);
     const std::string candidates = map->Describe();
--- a/src/forward/forward_core.h
+++ b/src/forward/forward_core.h
@@ -30,6 +30,8 @@
   /// Suspends a server whose streams have stalled, or that rejects requests because of another
   /// server, and reports its group to the controllers. Does nothing while it is suspended already.
   void ReportStall(const dispatch_candidate& server, std::string_view evidence, duration silence);
+  /// Records what a server states about itself in a response, and logs what is new.
+  void RecordNotice(const dispatch_candidate& server, const server_notice& notice);
 
   asio::io_context& context;
   const runtime_clock& clock;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -57,6 +57,14 @@
   if (!server.group.empty()) hooks.OnStall(server.group, server.server);
 }
 
+void forward_core::RecordNotice(const dispatch_candidate& server, const server_notice& notice) {
+  const server_notices::changes news = selection.RecordNotice(server, notice, Now());
+  if (news.leaving) {
+    metrics.Counter("waxwingwing_server_notices_total", {{"notice", "leaving"}}).Increment();
+    log.Write("server_leaving", {{"server", server.server.str()}, {"group", server.group.str()}});
+  }
+}
+
 class forwarder::implementation {
  public:
   implementation(const forward_dependencies& dependencies, const forward_options& options)
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -31,7 +31,7 @@
 
 const char* NameOf(exchange_abort abort_reason) {
   static constexpr std::array kNames = {"none",        "caller_left", "deadline",  "connect_limit",
-                                        "first_limit", "stall",       "superseded"};
+                                        "first_limit", "stall",       "superseded", "withdrawn"};
   return kNames.at(static_cast<std::size_t>(abort_reason));
 }
 
@@ -111,7 +111,15 @@
   co_return false;
 }
 
+bool server_exchange::MaySend() {
+  if (!core_.selection.IsWithdrawn(plan_.target, core_.Now())) return true;
+  abort_reason_ = exchange_abort::kWithdrawn;
+  failure_ = "the server wants no more requests";
+  return false;
+}
+
 awaitable<exchange_outcome> server_exchange::Send() {
+  if (!MaySend()) co_return exchange_outcome::kNotSent;
   error_code error;
   std::size_t sent = connection_->socket.write_some(asio::buffer(plan_.request), error);
   if (error && error != asio::error::would_block) {
@@ -146,6 +154,7 @@
     }
     const auto& message = parser_->get();
     response_.metadata = core_.codec.ReadResponseMetadata(message.result_int(), message);
+    core_.RecordNotice(plan_.target, response_.metadata.notice);
     if (IsUnclearRefusal()) {
       failure_ = "a refusal without a request id on a reused connection";
       co_return false;
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -54,6 +54,8 @@
   kStall,
   /// The server that the exchange was to replace went on by itself.
   kSuperseded,
+  /// The server stated, before the request was sent, that it wants no more requests.
+  kWithdrawn,
 };
 
 const char* NameOf(exchange_abort abort_reason);
@@ -122,6 +124,8 @@
   /// no longer wanted to send it.
   bool IsServerAtFault() const;
   awaitable<exchange_outcome> Send();
+  /// Whether the server may still get the request; a connection may have taken a while.
+  bool MaySend();
   awaitable<bool> ReadHead();
   /// Whether the response is a refusal that may belong to an earlier request on the connection, and
   /// the request must not be taken as "not run" for that reason.
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -21,6 +21,11 @@
 /// Size, in bytes, from which on bytes that are written again and again are sent.
 constexpr std::size_t kEndlessWriteSize = 16384;
 
+std::int64_t UnixMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
 /// Replaces each `{id}` in `text`.
 std::string WithId(std::string text, const std::string& id) {
   static const std::string kPlaceholder = "{id}";
@@ -64,7 +69,8 @@
 
 }  // namespace
 
-model_runner::model_runner(asio::io_context& context) : stand_in(context) {}
+model_runner::model_runner(asio::io_context& context)
+    : stand_in(context), born_(UnixMilliseconds()) {}
 
 void model_runner::Start(const std::string& address) {
   address_ = address;
@@ -81,7 +87,7 @@
                        {"cold_left_ms", 0},
                        {"domain", FLAGS_fabric},
                        {"staged", json::array()},
-                       {"born", 1},
+                       {"born", born_},
                        {"models", json::array()}};
   if (!model_.empty()) registration["models"].push_back({{"name", model_}, {"version", 1}});
   if (membership_) {
@@ -126,12 +132,11 @@
     *text->second = value.get<std::string>();
     return true;
   }
-  if (name == "stall") {
-    stall_ = value.get<bool>();
-    return true;
-  }
-  if (name != "drain") return stand_in::SetFault(name, value);
-  draining_ = value.get<bool>();
+  const std::map<std::string, bool*> flags = {
+      {"stall", &stall_}, {"drain", &draining_}, {"leaving", &leaving_}};
+  const auto flag = flags.find(name);
+  if (flag == flags.end()) return stand_in::SetFault(name, value);
+  *flag->second = value.get<bool>();
   return true;
 }
 
@@ -153,6 +158,8 @@
     co_await HandleOrder(exchange);
     co_return;
   }
+  records().Add("arrivals",
+                {{"at_us", MonotonicMicros()}, {"request", exchange.Header("Request-Id")}});
   const bool is_head = !FLAGS_streams || (membership_ && membership_->rank == 0);
   const bool open = !FLAGS_streams || (is_head && membership_->state == "open");
   if (!is_head) {
@@ -255,12 +262,20 @@
   header_list headers = {{"Not-Executed", "1"},
                          {"Instance-Id", FLAGS_vm_id},
                          {"Request-Id", exchange.Header("Request-Id")}};
+  AddNotices(headers);
   co_await exchange.AnswerText(status, "{}", std::move(headers));
 }
 
 header_list model_runner::AnswerHeaders(const http_exchange& exchange) const {
-  return {{"Request-Id", exchange.Header("Request-Id")},
-          {"Response-Signature", FLAGS_vm_id + "." + exchange.Header("Request-Id")}};
+  header_list headers = {
+      {"Request-Id", exchange.Header("Request-Id")},
+      {"Response-Signature", FLAGS_vm_id + "." + exchange.Header("Request-Id")}};
+  AddNotices(headers);
+  return headers;
+}
+
+void model_runner::AddNotices(header_list& headers) const {
+  if (leaving_) headers.emplace_back("Server-Leaving", "1");
 }
 
 awaitable<void> model_runner::Run(http_exchange& exchange) {
--- a/stand_ins/model_runner.h
+++ b/stand_ins/model_runner.h
@@ -12,8 +12,8 @@
 /// Stand-in of kind `model_runner`: a model runner of the users' platform.
 ///
 /// Registers in the store, takes orders to join and open groups, and answers requests with a stream
-/// of numbered events (`--streams`) or with one body. Records each request that it ran and each
-/// order.
+/// of numbered events (`--streams`) or with one body. Records each request that arrived, each that it
+/// ran and each order.
 ///
 /// Additional faults: `stall` (bool: streams stall while it is set), `break_after` (count: the next
 /// stream breaks off in the middle of the event that follows this many events), `reject` (count:
@@ -21,7 +21,7 @@
 /// (count: requests that run, after which the connection is closed without an answer), `drain`
 /// (bool: registers as draining), `deadly_part` (text: the process ends when it begins to answer a
 /// request whose prompt has this part), `advertise` (text: registers under this address, that of a
-/// proxy).
+/// proxy), `leaving` (bool: states in each answer that it is leaving, and registers as before).
 ///
 /// Faults that write raw bytes, in which `{id}` stands for the request's id: `bytes_before` (text:
 /// written once, in front of the answer to the next request that runs), `bytes_after` (text:
@@ -64,14 +64,19 @@
   unsigned Join(const json& order);
   json Registration() const;
   header_list AnswerHeaders(const http_exchange& exchange) const;
+  /// Adds what the runner states about itself to the headers of an answer or a refusal.
+  void AddNotices(header_list& headers) const;
 
   std::string address_;
+  /// Unix time in milliseconds at which the process started.
+  const std::int64_t born_;
   std::uint64_t revision_ = 0;
   std::uint64_t orders_ = 0;
   std::string model_;
   std::optional<membership> membership_;
   bool stall_ = false;
   bool draining_ = false;
+  bool leaving_ = false;
   std::uint64_t break_after_ = 0;
   std::uint64_t reject_ = 0;
   std::uint64_t extra_ = 0;
