dispatch: leave a server alone for the time that it asks for

Retry-After of a server's 503 was read nowhere; the server was left out for 60 ms, like any that is full.

The time is now read from a 503, as a decimal number of seconds; anything else counts as none, and more than 60 s as 60 s, so that a faulty answer does not keep a server out for long. Until its end, and a random part of it more so that VMs do not return together, the server is not selected, and its window is halved. When only such servers could take a request that would have to wait longer than for a place, it is refused at once with the time at which the first returns.

--- a/include/waxwingwing/dispatch/server_load.h
+++ b/include/waxwingwing/dispatch/server_load.h
@@ -28,6 +28,9 @@
   /// Records that a request has waited past its objective, or that the server had no capacity for
   /// one; shrinks the window.
   void RecordCongestion(time_point now);
+  /// Records that the server asked for a time without requests; halves the window, so that it gets
+  /// its share of them again by degrees.
+  void RecordRest();
   /// Records an event of a stream; ends a suspension.
   void EventArrived(time_point now);
   /// Records the end of a request. `begun`: whether its answer had begun.
--- a/include/waxwingwing/dispatch/server_notices.h
+++ b/include/waxwingwing/dispatch/server_notices.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/units.h"
@@ -15,10 +16,17 @@
 struct server_notice {
   /// The server is leaving; it states so in all its responses from then on.
   bool leaving = false;
+  /// Time for which the server wants no request from this VM; only in refusals.
+  std::optional<milliseconds> rest;
 };
 
 /// Limits of a `server_notices`.
 struct server_notice_options {
+  /// Longest time for which a server may ask to get no requests; longer ones are cut to it.
+  milliseconds max_rest{60000};
+  /// Extra time without requests, as a fraction of a rest, over which the returns of VMs are spread.
+  double rest_spread = 0.1;
+  milliseconds max_rest_spread{500};
   /// How long the notices of a server are kept that is not registered.
   std::chrono::seconds unregistered_lifetime{600};
   std::size_t max_servers = 4096;
@@ -35,13 +43,19 @@
   /// Which notices of a response were news.
   struct changes {
     bool leaving = false;
+    /// End of a rest that is later than the known one.
+    std::optional<time_point> rests_until;
   };
 
-  /// Records the notice of a server's incarnation `born`.
+  /// Records the notice of a server's incarnation `born`. `spread`, from 0 to 1, is this VM's random
+  /// part of the extra time after a rest.
   changes Record(const backend_server_id& server, std::uint64_t born, const server_notice& notice,
-                 time_point now);
+                 double spread, time_point now);
 
   bool IsLeaving(const backend_server_id& server, std::uint64_t born) const;
+  /// End of the time for which the server wants no request from this VM; empty when it is over.
+  std::optional<time_point> RestsUntil(const backend_server_id& server, std::uint64_t born,
+                                       time_point now) const;
 
   /// Removes notices of servers for which `is_known` returns false after some time.
   void Prune(const std::function<bool(const backend_server_id&)>& is_known, time_point now);
@@ -50,6 +64,7 @@
   struct known_notices {
     std::uint64_t born = 0;
     bool leaving = false;
+    std::optional<time_point> rests_until;
     time_point updated_at{};
   };
 
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -25,6 +25,8 @@
   kNoServer,
   /// All were tried already, failed recently, are stalled or leave.
   kAllSuspended,
+  /// No server is usable, and at least one wants no requests for a time.
+  kAllResting,
   /// All have as many requests as they can start in time, or have reached their cold rate.
   kAllFull,
 };
@@ -69,6 +71,11 @@
   bool CanSelect(const std::vector<dispatch_candidate>& candidates,
                  const std::set<backend_server_id>& excluded, time_point now);
 
+  /// When the first of the candidates that are not in `excluded` becomes usable, as far as that is
+  /// known; `time_point::max()` when it is known of none.
+  time_point AvailableAt(const std::vector<dispatch_candidate>& candidates,
+                         const std::set<backend_server_id>& excluded, time_point now);
+
   /// The first condition that excludes the server now, other than that it was tried already.
   std::optional<server_exclusion> ExclusionOf(const dispatch_candidate& candidate, time_point now);
 
@@ -97,9 +104,10 @@
     selection_failure failure;
     condition_check check;
   };
-  static const std::array<condition, 4> kConditions;
+  static const std::array<condition, 5> kConditions;
 
   std::optional<time_point> CheckLeaving(const dispatch_candidate& candidate, time_point now);
+  std::optional<time_point> CheckRest(const dispatch_candidate& candidate, time_point now);
   std::optional<time_point> CheckSuspension(const dispatch_candidate& candidate, time_point now);
   std::optional<time_point> CheckCapacity(const dispatch_candidate& candidate, time_point now);
   std::optional<time_point> CheckColdRate(const dispatch_candidate& candidate, time_point now);
--- a/src/dispatch/server_load.cc
+++ b/src/dispatch/server_load.cc
@@ -25,6 +25,8 @@
 constexpr double kWindowGrowth = 0.35;
 /// Factor by which the window shrinks when answers begin late.
 constexpr double kWindowShrink = 0.8;
+/// Factor by which the window shrinks when the server asks for a rest.
+constexpr double kWindowRestFactor = 0.5;
 /// Shortest time between two reductions, so that the answers of one decoding step shrink the window
 /// only once.
 constexpr milliseconds kShrinkInterval{120};
@@ -53,6 +55,11 @@
   window_ = std::max(kMinWindow, window_ * kWindowShrink);
 }
 
+void server_load::RecordRest() {
+  window_is_learned_ = true;
+  window_ = std::max(kMinWindow, window_ * kWindowRestFactor);
+}
+
 void server_load::SetFirstWindow(double window) {
   if (!window_is_learned_) window_ = std::max(kMinWindow, window);
 }
--- a/src/dispatch/server_notices.cc
+++ b/src/dispatch/server_notices.cc
@@ -5,14 +5,25 @@
 namespace waxwingwing {
 
 server_notices::changes server_notices::Record(const backend_server_id& server, std::uint64_t born,
-                                               const server_notice& notice, time_point now) {
+                                               const server_notice& notice, double spread,
+                                               time_point now) {
   changes news;
   // Most responses carry no notice and come from servers that have given none.
-  if (!notice.leaving && !notices_.contains(server)) return news;
+  const bool has_notice = notice.leaving || notice.rest;
+  if (!has_notice && !notices_.contains(server)) return news;
   known_notices* known = FindOrAdd(server, born, now);
   if (known == nullptr) return news;
   news.leaving = notice.leaving && !known->leaving;
   known->leaving = known->leaving || notice.leaving;
+  if (!notice.rest) return news;
+  const duration rest = std::min(*notice.rest, options_.max_rest);
+  const duration extra = std::min<duration>(
+      std::chrono::duration_cast<duration>(rest * options_.rest_spread), options_.max_rest_spread);
+  const time_point until = now + rest + std::chrono::duration_cast<duration>(extra * spread);
+  if (!known->rests_until || until > *known->rests_until) {
+    known->rests_until = until;
+    news.rests_until = until;
+  }
   return news;
 }
 
@@ -37,12 +48,22 @@
   return known != nullptr && known->leaving;
 }
 
+std::optional<time_point> server_notices::RestsUntil(const backend_server_id& server,
+                                                     std::uint64_t born, time_point now) const {
+  const known_notices* known = Find(server, born);
+  if (known == nullptr || !known->rests_until || now >= *known->rests_until) return std::nullopt;
+  return known->rests_until;
+}
+
 bool server_notices::IsEmpty(const known_notices& notices) {
-  return !notices.leaving;
+  return !notices.leaving && !notices.rests_until;
 }
 
 void server_notices::Prune(const std::function<bool(const backend_server_id&)>& is_known,
                            time_point now) {
+  for (auto& [server, known] : notices_) {
+    if (known.rests_until && now >= *known.rests_until) known.rests_until.reset();
+  }
   std::erase_if(notices_, [&](const auto& item) {
     const known_notices& known = item.second;
     const bool is_old = now - known.updated_at > options_.unregistered_lifetime;
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -29,12 +29,14 @@
 }  // namespace
 
 const char* NameOf(selection_failure failure) {
-  static constexpr std::array kNames = {"none", "no_server", "all_suspended", "all_full"};
+  static constexpr std::array kNames = {"none", "no_server", "all_suspended", "all_resting",
+                                        "all_full"};
   return kNames.at(static_cast<std::size_t>(failure));
 }
 
-const std::array<server_selection::condition, 4> server_selection::kConditions = {{
+const std::array<server_selection::condition, 5> server_selection::kConditions = {{
     {"leaving", selection_failure::kAllSuspended, &server_selection::CheckLeaving},
+    {"resting", selection_failure::kAllResting, &server_selection::CheckRest},
     {"suspended", selection_failure::kAllSuspended, &server_selection::CheckSuspension},
     {"full", selection_failure::kAllFull, &server_selection::CheckCapacity},
     {"cold_rate", selection_failure::kAllFull, &server_selection::CheckColdRate},
@@ -112,6 +114,18 @@
                      });
 }
 
+time_point server_selection::AvailableAt(const std::vector<dispatch_candidate>& candidates,
+                                         const std::set<backend_server_id>& excluded,
+                                         time_point now) {
+  time_point earliest = time_point::max();
+  for (const dispatch_candidate& candidate : candidates) {
+    if (excluded.contains(candidate.server)) continue;
+    const auto exclusion = ExclusionOf(candidate, now);
+    earliest = std::min(earliest, exclusion ? exclusion->until : now);
+  }
+  return earliest;
+}
+
 std::optional<server_exclusion> server_selection::ExclusionOf(const dispatch_candidate& candidate,
                                                               time_point now) {
   for (const condition& known : kConditions) {
@@ -127,6 +141,11 @@
   return time_point::max();
 }
 
+std::optional<time_point> server_selection::CheckRest(const dispatch_candidate& candidate,
+                                                      time_point now) {
+  return notices_.RestsUntil(candidate.server, candidate.born, now);
+}
+
 std::optional<time_point> server_selection::CheckSuspension(const dispatch_candidate& candidate,
                                                             time_point now) {
   const server_load& load = loads_[candidate.server];
@@ -149,11 +168,15 @@
 server_notices::changes server_selection::RecordNotice(const dispatch_candidate& server,
                                                        const server_notice& notice,
                                                        time_point now) {
-  return notices_.Record(server.server, server.born, notice, now);
+  const auto news =
+      notices_.Record(server.server, server.born, notice, random_.Fraction(), now);
+  if (news.rests_until) loads_[server.server].RecordRest();
+  return news;
 }
 
-bool server_selection::IsWithdrawn(const dispatch_candidate& server, time_point /*now*/) const {
-  return notices_.IsLeaving(server.server, server.born);
+bool server_selection::IsWithdrawn(const dispatch_candidate& server, time_point now) const {
+  return notices_.IsLeaving(server.server, server.born) ||
+         notices_.RestsUntil(server.server, server.born, now).has_value();
 }
 
 bool server_selection::IsFull(const dispatch_candidate& candidate, const server_load& load) const {
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -305,10 +305,16 @@
   // Ending the response would lose what the caller has received.
   if (head_sent_) return core_.Now() - broke_off_at_ < core_.options.resume_wait;
   // When capacity is freed soon, the response can still start within the latency objective.
-  if (sends_ > 0 || selection_failure_ != selection_failure::kAllFull) return false;
-  const auto limit =
-      std::chrono::duration_cast<duration>(route_->objective * core_.options.queue_wait_fraction);
-  return core_.Now() - arrived_at_ < limit;
+  if (sends_ > 0) return false;
+  const time_point limit = arrived_at_ + std::chrono::duration_cast<duration>(
+                                             route_->objective * core_.options.queue_wait_fraction);
+  if (selection_failure_ == selection_failure::kAllResting) return EndOfRest() <= limit;
+  return selection_failure_ == selection_failure::kAllFull && core_.Now() < limit;
+}
+
+time_point forward_call::EndOfRest() const {
+  const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
+  return core_.selection.AvailableAt(candidates, tried_, core_.Now());
 }
 
 void forward_call::FailUnselected() {
@@ -526,8 +532,12 @@
 }
 
 milliseconds forward_call::RetryDelay() const {
-  const milliseconds base =
+  milliseconds base =
       selection_failure_ == selection_failure::kAllFull ? kFullRetryDelay : kRepairRetryDelay;
+  if (selection_failure_ == selection_failure::kAllResting) {
+    const time_point end = EndOfRest();
+    if (end != time_point::max()) base = std::chrono::ceil<milliseconds>(end - core_.Now());
+  }
   const auto spread = StableHash(request_metadata_.id.str(), 2) %
                       static_cast<std::uint64_t>(kRetryDelaySpread.count());
   return base + milliseconds(static_cast<milliseconds::rep>(spread));
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -62,6 +62,8 @@
   const dispatch_candidate* SelectServer();
   /// Whether the request may wait for a server that can take it.
   bool MayWaitForCapacity() const;
+  /// When a server that wants no requests for a time can take this one at the earliest.
+  time_point EndOfRest() const;
   /// Ends a request for which no server could be selected.
   void FailUnselected();
   exchange_plan PlanExchange(const dispatch_candidate& server) const;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -63,6 +63,12 @@
     metrics.Counter("waxwingwing_server_notices_total", {{"notice", "leaving"}}).Increment();
     log.Write("server_leaving", {{"server", server.server.str()}, {"group", server.group.str()}});
   }
+  if (news.rests_until) {
+    metrics.Counter("waxwingwing_server_notices_total", {{"notice", "rest"}}).Increment();
+    log.Write("server_rests", {{"server", server.server.str()},
+                               {"group", server.group.str()},
+                               {"for_ms", *news.rests_until - Now()}});
+  }
 }
 
 class forwarder::implementation {
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -126,7 +126,8 @@
   const std::map<std::string, std::string*> texts = {
       {"bytes_before", &bytes_before_}, {"bytes_after", &bytes_after_},
       {"answer_bytes", &answer_bytes_}, {"endless_bytes", &endless_bytes_},
-      {"deadly_part", &deadly_part_},   {"advertise", &address_}};
+      {"deadly_part", &deadly_part_},   {"advertise", &address_},
+      {"retry_after", &retry_after_}};
   const auto text = texts.find(name);
   if (text != texts.end()) {
     *text->second = value.get<std::string>();
@@ -262,6 +263,7 @@
   header_list headers = {{"Not-Executed", "1"},
                          {"Instance-Id", FLAGS_vm_id},
                          {"Request-Id", exchange.Header("Request-Id")}};
+  if (status == 503 && !retry_after_.empty()) headers.emplace_back("Retry-After", retry_after_);
   AddNotices(headers);
   co_await exchange.AnswerText(status, "{}", std::move(headers));
 }
--- a/stand_ins/model_runner.h
+++ b/stand_ins/model_runner.h
@@ -21,7 +21,8 @@
 /// (count: requests that run, after which the connection is closed without an answer), `drain`
 /// (bool: registers as draining), `deadly_part` (text: the process ends when it begins to answer a
 /// request whose prompt has this part), `advertise` (text: registers under this address, that of a
-/// proxy), `leaving` (bool: states in each answer that it is leaving, and registers as before).
+/// proxy), `leaving` (bool: states in each answer that it is leaving, and registers as before),
+/// `retry_after` (text: value of that header in each refusal; empty: none).
 ///
 /// Faults that write raw bytes, in which `{id}` stands for the request's id: `bytes_before` (text:
 /// written once, in front of the answer to the next request that runs), `bytes_after` (text:
@@ -82,6 +83,7 @@
   std::uint64_t extra_ = 0;
   std::uint64_t drop_answers_ = 0;
   std::string deadly_part_;
+  std::string retry_after_;
   std::string bytes_before_;
   std::string bytes_after_;
   std::string answer_bytes_;
--- a/tests/integration/entry_notice_test.cc
+++ b/tests/integration/entry_notice_test.cc
@@ -76,5 +76,67 @@
       milliseconds(12000)));
 }
 
+/// A rest that the tests outlast, in seconds.
+constexpr const char* kRest = "1.5";
+constexpr std::chrono::milliseconds kRestTime{1500};
+
+std::chrono::milliseconds Since(std::chrono::steady_clock::time_point start) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() -
+                                                               start);
+}
+
+// Guards against sending requests to a server that has asked for a time without any.
+TEST_CASE("entry: a server that asks for a rest gets no request until it is over", "[entry]") {
+  entry_deployment deployment({.services = 2});
+  deployment.WaitUntilServing();
+  child_process& resting = *deployment.services().front();
+  SetFaults(resting, {{"reject", 1}, {"retry_after", kRest}});
+  ReachServer(deployment, resting);
+  const auto start = std::chrono::steady_clock::now();
+  const std::size_t arrivals = Arrivals(deployment, resting);
+  while (Since(start) < kRestTime - std::chrono::milliseconds(200)) {
+    const auto answer = deployment.Call("GET", "/lookup/x");
+    REQUIRE(answer);
+    CHECK(answer->status == 200);
+  }
+  CHECK(Arrivals(deployment, resting) == arrivals);
+  CHECK(deployment.LogLines("server_rests").size() == 1);
+  std::this_thread::sleep_for(kRestTime);
+  ReachServer(deployment, resting);
+}
+
+// Guards against holding a request for a server that wants none within the time that is left, and
+// against telling its caller to come back too early.
+TEST_CASE("entry: a request that only resting servers could take is refused at once", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  SetFaults(deployment.service(), {{"reject", 1}, {"retry_after", kRest}});
+  const auto first = deployment.Call("POST", "/once/a", {}, "confirm");
+  REQUIRE(first);
+  CHECK(first->status == 503);
+  const auto start = std::chrono::steady_clock::now();
+  const auto second = deployment.Call("POST", "/once/a", {}, "confirm");
+  const auto took = Since(start);
+  REQUIRE(second);
+  CHECK(second->status == 503);
+  CHECK(second->body.find("all_resting") != std::string::npos);
+  CHECK(took < std::chrono::milliseconds(120));
+  const double seconds = std::stod(second->Header("Retry-After"));
+  CHECK(seconds > 1.2);
+  CHECK(seconds < 2.5);
+  CHECK(Arrivals(deployment, deployment.service()) == 1);
+}
+
+// Guards against taking a malformed time for one.
+TEST_CASE("entry: a refusal with a malformed time to come back keeps no requests off", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  const std::string value = GENERATE(as<std::string>{}, "-5", "soon", "1e9", "nan", "0", "4 s");
+  SetFaults(deployment.service(), {{"reject", 1}, {"retry_after", value}});
+  CHECK(deployment.Call("POST", "/once/a", {}, "confirm")->status == 503);
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(deployment.Call("POST", "/once/a", {}, "confirm")->status == 200);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -232,5 +232,34 @@
   CHECK(codec.ReadResponseMetadata(200, fields).idle_limit == milliseconds(5000));
 }
 
+std::optional<milliseconds> RestOf(unsigned status, const char* retry_after) {
+  http_fields fields;
+  fields.set("Retry-After", retry_after);
+  return header_codec().ReadResponseMetadata(status, fields).notice.rest;
+}
+
+// Guards against keeping requests off a server for a time that it did not ask for.
+TEST_CASE("the time for which a server wants no requests is read from its refusals", "[platform]") {
+  CHECK(RestOf(503, "4") == milliseconds(4000));
+  CHECK(RestOf(503, "0.25") == milliseconds(250));
+  CHECK(RestOf(503, "99999999999999999999") == milliseconds(86400000));
+  CHECK_FALSE(RestOf(200, "4"));
+  CHECK_FALSE(RestOf(421, "4"));
+  for (const char* malformed : {"", "0", "-1", "soon", "4s", "1e3", "inf", "nan", "4 5"}) {
+    INFO(malformed);
+    CHECK_FALSE(RestOf(503, malformed));
+  }
+}
+
+TEST_CASE("a server's statement that it leaves is read from answers and refusals", "[platform]") {
+  const header_codec codec;
+  http_fields fields;
+  CHECK_FALSE(codec.ReadResponseMetadata(200, fields).notice.leaving);
+  fields.set("Server-Leaving", "1");
+  for (const unsigned status : {200U, 404U, 421U, 429U, 500U, 503U}) {
+    CHECK(codec.ReadResponseMetadata(status, fields).notice.leaving);
+  }
+}
+
 }  // namespace
 }  // namespace waxwingwing
