dispatch: divide the limits that servers state among all VMs

The statement was read nowhere, and each VM by itself stays below the limit: it is the sum of all VMs that counts.

The limit is now read from any answer of the server and kept by incarnation until an answer of its own states none, or for 60 s. It is divided like a cold server's rate, by the parts of the work that the store deals among the VMs: 0.4 of the rate and two more parts, each with one holder, so that neither the rate nor the bursts of all VMs exceed it together. A VM whose parts are not confirmed goes on with 0.3 of its part, since most servers may have stated a limit; one that has just started has none until the store deals it some. VMs learn of limits, and of their end, from each other over the link to the controller; a VM that holds no part of a server would not hear of the end otherwise.

A bucket keeps its tokens when the parts are dealt anew, up to its new size: a rate of a few requests a minute and VM would never be reached otherwise.

--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -82,6 +82,14 @@
   /// Records what a server has stated about itself in a response.
   server_notices::changes RecordNotice(const dispatch_candidate& server,
                                        const server_notice& notice, time_point now);
+  /// What servers have stated about the rates of requests that they take from all VMs together, for
+  /// the other VMs, and their statements for this one.
+  std::vector<rate_limit_statement> RateLimits(time_point now) const {
+    return notices_.RateLimits(now);
+  }
+  void MergeRateLimits(const std::vector<rate_limit_statement>& statements, time_point now) {
+    notices_.MergeRateLimits(statements, now);
+  }
   /// Whether the server has stated since it was selected that it wants no more requests.
   bool IsWithdrawn(const dispatch_candidate& server, time_point now) const;
 
@@ -104,12 +112,13 @@
     selection_failure failure;
     condition_check check;
   };
-  static const std::array<condition, 5> kConditions;
+  static const std::array<condition, 6> kConditions;
 
   std::optional<time_point> CheckLeaving(const dispatch_candidate& candidate, time_point now);
   std::optional<time_point> CheckRest(const dispatch_candidate& candidate, time_point now);
   std::optional<time_point> CheckSuspension(const dispatch_candidate& candidate, time_point now);
   std::optional<time_point> CheckCapacity(const dispatch_candidate& candidate, time_point now);
+  std::optional<time_point> CheckRateLimit(const dispatch_candidate& candidate, time_point now);
   std::optional<time_point> CheckColdRate(const dispatch_candidate& candidate, time_point now);
   /// Returns the candidate with the lowest score; compares only a random sample of groups. Reorders
   /// `usable`, which must not be empty.
@@ -129,6 +138,8 @@
   std::map<backend_server_id, server_load> loads_;
   server_notices notices_;
   shared_rate_limits cold_;
+  /// Divides the rates that servers state themselves.
+  shared_rate_limits stated_;
 };
 
 }  // namespace waxwingwing
--- a/include/waxwingwing/dispatch/shared_rate_limits.h
+++ b/include/waxwingwing/dispatch/shared_rate_limits.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/directory/backend_server.h"
@@ -9,7 +10,18 @@
 
 namespace waxwingwing {
 
-/// Rate limiter that keeps all VMs together within the capacity of each cold server.
+/// Limits of a `shared_rate_limits`.
+struct shared_rate_options {
+  /// Requests that all VMs together may send to a server at once: a fraction of those of one second,
+  /// and a number beyond that.
+  double burst_fraction = 0.4;
+  double base_burst = 0;
+  /// Part of the rates that applies while the store has not confirmed this VM's partitions, which
+  /// other VMs may hold by then.
+  double unconfirmed_part = 0;
+};
+
+/// Rate limiter that keeps all VMs together within a rate of requests to each server.
 ///
 /// The rate of a server is divided equally among a few partitions of the work, which are selected
 /// by a hash of the server's id; only the VMs that hold these partitions send to it. The number of
@@ -17,11 +29,13 @@
 /// server's limit even when there are many VMs.
 class shared_rate_limits {
  public:
+  explicit shared_rate_limits(const shared_rate_options& options = {}) : options_(options) {}
+
   /// Sets the partitions that this VM holds: none while the store has not confirmed them.
   void SetPartitions(const work_partitions& partitions);
 
-  /// Whether this VM may send a request to the cold server, whose capacity is `rate` requests a
-  /// second.
+  /// Whether this VM may send a request to the server, to which all VMs together may send `rate`
+  /// requests a second.
   bool MaySend(const backend_server_id& server, double rate, time_point now);
   /// Consumes the token for a request that `MaySend` has allowed.
   void ConsumeToken(const backend_server_id& server);
@@ -32,6 +46,8 @@
   /// Token bucket for one server.
   struct bucket {
     double tokens = 0;
+    /// Rate of all VMs together; empty when this VM's part of it is to be calculated again.
+    std::optional<double> joint_rate;
     /// Tokens added a second, and the largest number that is kept.
     double rate = 0;
     double burst = 0;
@@ -40,7 +56,10 @@
 
   bucket MakeBucket(const backend_server_id& server, double rate, time_point now) const;
 
+  const shared_rate_options options_;
+  /// The partitions that were last confirmed, or none when unconfirmed ones do not count.
   work_partitions partitions_;
+  bool confirmed_ = false;
   std::map<backend_server_id, bucket> buckets_;
 };
 
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -194,12 +194,28 @@
   MSGPACK_DEFINE(server, running)
 };
 
-/// A VM's own requests at each backend server; sent to the controller at short intervals.
+/// A backend server's last statement about the rate of requests that it takes from all VMs together.
+struct rate_limit_message {
+  std::string server;
+  /// Unix time in milliseconds at which the server's incarnation started.
+  std::uint64_t born = 0;
+  /// Requests a second; empty: the server no longer states a limit.
+  std::optional<double> rate;
+  /// Time since the statement.
+  milliseconds age{0};
+
+  bool operator==(const rate_limit_message&) const = default;
+  MSGPACK_DEFINE(server, born, rate, age)
+};
+
+/// A VM's own requests at each backend server, and the limits that it knows of; sent to the
+/// controller at short intervals.
 struct vm_load_message {
   std::vector<server_requests_message> servers;
+  std::vector<rate_limit_message> limits;
 
   bool operator==(const vm_load_message&) const = default;
-  MSGPACK_DEFINE(servers)
+  MSGPACK_DEFINE(servers, limits)
 };
 
 /// A registration as the store keeps it; no value means that the key was removed.
@@ -237,9 +253,11 @@
   /// Time since the controller sent its query to the store.
   milliseconds age{0};
   std::vector<server_requests_message> servers;
+  /// The limits that any VM knows of.
+  std::vector<rate_limit_message> limits;
 
   bool operator==(const directory_feed_message&) const = default;
-  MSGPACK_DEFINE(from, next, changes, age, servers)
+  MSGPACK_DEFINE(from, next, changes, age, servers, limits)
 };
 
 /// Reports to the controller that the streams of a group have stalled, as observed by one VM.
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -25,6 +25,10 @@
 /// Largest random load added to a score, in requests per slot; spreads the requests of VMs that see
 /// equal loads.
 constexpr double kRandomLoad = 0.01;
+/// Division of the rates that servers state. Operators allow 1.5 times the rate plus five requests
+/// in four seconds. A VM whose partitions are not confirmed goes on with a part of its rate, since
+/// most servers may have stated a limit.
+constexpr shared_rate_options kStatedRates{0.4, 2, 0.3};
 
 }  // namespace
 
@@ -34,20 +38,22 @@
   return kNames.at(static_cast<std::size_t>(failure));
 }
 
-const std::array<server_selection::condition, 5> server_selection::kConditions = {{
+const std::array<server_selection::condition, 6> server_selection::kConditions = {{
     {"leaving", selection_failure::kAllSuspended, &server_selection::CheckLeaving},
     {"resting", selection_failure::kAllResting, &server_selection::CheckRest},
     {"suspended", selection_failure::kAllSuspended, &server_selection::CheckSuspension},
     {"full", selection_failure::kAllFull, &server_selection::CheckCapacity},
+    {"rate_limit", selection_failure::kAllFull, &server_selection::CheckRateLimit},
     {"cold_rate", selection_failure::kAllFull, &server_selection::CheckColdRate},
 }};
 
 server_selection::server_selection(selection_options options, failure_domain_id own_domain,
                                    random_source random)
-    : options_(options), own_domain_(std::move(own_domain)), random_(random) {}
+    : options_(options), own_domain_(std::move(own_domain)), random_(random), stated_(kStatedRates) {}
 
 void server_selection::SetPartitions(const work_partitions& partitions) {
   cold_.SetPartitions(partitions);
+  stated_.SetPartitions(partitions);
   if (!partitions.held.empty()) share_ = partitions.Share();
 }
 
@@ -80,6 +86,7 @@
   failure = selection_failure::kNone;
   const dispatch_candidate* best = LeastLoaded(usable, now);
   if (best->cold_rate > 0 && now < best->cold_until) cold_.ConsumeToken(best->server);
+  if (notices_.RateLimit(best->server, best->born, now)) stated_.ConsumeToken(best->server);
   return best;
 }
 
@@ -158,6 +165,13 @@
   return time_point::max();
 }
 
+std::optional<time_point> server_selection::CheckRateLimit(const dispatch_candidate& candidate,
+                                                           time_point now) {
+  const auto rate = notices_.RateLimit(candidate.server, candidate.born, now);
+  if (!rate || stated_.MaySend(candidate.server, *rate, now)) return std::nullopt;
+  return time_point::max();
+}
+
 std::optional<time_point> server_selection::CheckColdRate(const dispatch_candidate& candidate,
                                                           time_point now) {
   if (candidate.cold_rate <= 0 || now >= candidate.cold_until) return std::nullopt;
@@ -220,6 +234,7 @@
   });
   notices_.Prune(is_known, now);
   cold_.Prune(is_known);
+  stated_.Prune(is_known);
 }
 
 }  // namespace waxwingwing
--- a/src/dispatch/shared_rate_limits.cc
+++ b/src/dispatch/shared_rate_limits.cc
@@ -6,31 +6,29 @@
 #include "waxwingwing/core/hash.h"
 
 namespace waxwingwing {
-namespace {
-
-/// Fraction of a server's rate that is allowed as a burst. Operators allow a cold server 1.5 times
-/// its rate plus five requests in a second; the remainder is a margin for requests that are delayed
-/// on their way.
-constexpr double kBurstFraction = 0.4;
-
-}  // namespace
 
 void shared_rate_limits::SetPartitions(const work_partitions& partitions) {
-  if (partitions == partitions_) return;
-  partitions_ = partitions;
-  buckets_.clear();
+  const bool confirmed = !partitions.held.empty();
+  const bool keeps_held = !confirmed && options_.unconfirmed_part > 0;
+  if (confirmed == confirmed_ && (keeps_held || partitions == partitions_)) return;
+  confirmed_ = confirmed;
+  if (!keeps_held) partitions_ = partitions;
+  for (auto& [server, bucket] : buckets_) bucket.joint_rate.reset();
 }
 
 shared_rate_limits::bucket shared_rate_limits::MakeBucket(const backend_server_id& server, double rate,
                                                       time_point now) const {
   const auto selected_count =
-      static_cast<std::uint64_t>(std::max(1.0, std::floor(rate * kBurstFraction)));
+      static_cast<std::uint64_t>(
+      std::max(1.0, std::floor(rate * options_.burst_fraction + options_.base_burst)));
   std::size_t held = 0;
   for (std::uint64_t selected = 0; selected < selected_count; ++selected) {
     held += partitions_.held.contains(StableHash(server.str(), selected) % partitions_.all) ? 1 : 0;
   }
   bucket made;
+  made.joint_rate = rate;
   made.rate = rate * static_cast<double>(held) / static_cast<double>(selected_count);
+  if (!confirmed_) made.rate *= options_.unconfirmed_part;
   made.burst = static_cast<double>(held);
   made.refilled_at = now;
   return made;
@@ -38,9 +36,12 @@
 
 bool shared_rate_limits::MaySend(const backend_server_id& server, double rate, time_point now) {
   if (partitions_.held.empty()) return false;
-  const auto [found, is_new] = buckets_.try_emplace(server);
-  bucket& bucket = found->second;
-  if (is_new) bucket = MakeBucket(server, rate, now);
+  bucket& bucket = buckets_[server];
+  if (bucket.joint_rate != rate) {
+    const double tokens = bucket.tokens;
+    bucket = MakeBucket(server, rate, now);
+    bucket.tokens = std::min(tokens, bucket.burst);
+  }
   const double elapsed = std::chrono::duration<double>(now - bucket.refilled_at).count();
   bucket.tokens = std::min(bucket.burst, bucket.tokens + std::max(0.0, elapsed) * bucket.rate);
   bucket.refilled_at = now;
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -72,6 +72,27 @@
   return age ? std::optional<time_point>(now - *age) : std::nullopt;
 }
 
+std::vector<rate_limit_message> ToMessage(const std::vector<rate_limit_statement>& statements,
+                                          time_point now) {
+  std::vector<rate_limit_message> message;
+  message.reserve(statements.size());
+  for (const rate_limit_statement& known : statements) {
+    message.push_back({known.server.str(), known.born, known.rate, AgeOf(known.stated_at, now)});
+  }
+  return message;
+}
+
+std::vector<rate_limit_statement> FromMessage(const std::vector<rate_limit_message>& message,
+                                              time_point now) {
+  std::vector<rate_limit_statement> statements;
+  statements.reserve(message.size());
+  for (const rate_limit_message& limit : message) {
+    statements.push_back(
+        {backend_server_id(limit.server), limit.born, limit.rate, now - limit.age});
+  }
+  return statements;
+}
+
 crash_evidence_message ToMessage(const std::vector<part_evidence>& evidence, time_point now) {
   crash_evidence_message message;
   for (const part_evidence& known : evidence) {
@@ -172,10 +193,14 @@
 
 void controller_link::SendOwnRequests() {
   if (!controller_) return;
-  network_.Send(*controller_, vm_load_message{ToMessage(hooks_.own_requests())});
+  network_.Send(*controller_, vm_load_message{ToMessage(hooks_.own_requests()), OwnRateLimits()});
   SendEvidence(*controller_, hooks_.own_evidence());
 }
 
+std::vector<rate_limit_message> controller_link::OwnRateLimits() const {
+  return ToMessage(hooks_.rate_limits(), entry_.clock.Now());
+}
+
 void controller_link::SendEvidence(const vm_id& to, const std::vector<part_evidence>& evidence) {
   if (!evidence.empty()) network_.Send(to, ToMessage(evidence, entry_.clock.Now()));
 }
@@ -193,6 +218,7 @@
   const time_point now = entry_.clock.Now();
   if (const auto* load = std::get_if<vm_load_message>(&message)) {
     followers_[vm] = {FromMessage(load->servers), now};
+    hooks_.on_rate_limits(FromMessage(load->limits, now));
   } else if (const auto* stall = std::get_if<stall_message>(&message)) {
     hooks_.on_stall(*stall);
   } else if (const auto* evidence = std::get_if<crash_evidence_message>(&message)) {
@@ -203,6 +229,7 @@
     feed_received_at_ = now;
     health_.Succeeded();
     NotifyOtherRequests(FromMessage(feed->servers));
+    hooks_.on_rate_limits(FromMessage(feed->limits, now));
     hooks_.on_feed(*feed);
   }
 }
@@ -238,6 +265,7 @@
   feed.changes = PackChanges(changes);
   feed.age = std::chrono::ceil<milliseconds>(now - sent_at);
   feed.servers = ToMessage(all);
+  feed.limits = OwnRateLimits();
   published_offset_ = next;
   published_at_ = now;
   for (const auto& [vm, known] : followers_) network_.Send(vm, feed);
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -13,6 +13,7 @@
 #include "entry/entry_state.h"
 #include "platform/store_client.h"
 #include "waxwingwing/core/random_source.h"
+#include "waxwingwing/dispatch/server_notices.h"
 #include "waxwingwing/dispatch/server_requests.h"
 #include "waxwingwing/peer/peer_network.h"
 #include "waxwingwing/quarantine/prompt_quarantine.h"
@@ -29,6 +30,10 @@
   std::function<server_requests()> own_requests;
   /// Called with the running requests of all other VMs on each backend server.
   std::function<void(const server_requests&)> on_other_requests;
+  /// Returns the limits that servers have stated, as far as this VM knows of them.
+  std::function<std::vector<rate_limit_statement>()> rate_limits;
+  /// Called with the limits that other VMs know of.
+  std::function<void(const std::vector<rate_limit_statement>&)> on_rate_limits;
   /// Returns this VM's observations of parts of prompts on which servers crashed.
   std::function<std::vector<part_evidence>()> own_evidence;
   /// Returns the known observations of all VMs.
@@ -76,6 +81,7 @@
   awaitable<void> FollowController();
   awaitable<void> FindController();
   void SendOwnRequests();
+  std::vector<rate_limit_message> OwnRateLimits() const;
   void SendEvidence(const vm_id& to, const std::vector<part_evidence>& evidence);
   void PublishEvidence();
   /// Subtracts this VM's own requests from those of all VMs and passes the difference to
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -142,6 +142,10 @@
     hooks.on_other_requests = [this](const server_requests& requests) {
       selection_.SetOtherRequests(requests, clock_.Now());
     };
+    hooks.rate_limits = [this] { return selection_.RateLimits(clock_.Now()); };
+    hooks.on_rate_limits = [this](const std::vector<rate_limit_statement>& statements) {
+      selection_.MergeRateLimits(statements, clock_.Now());
+    };
     hooks.own_evidence = [this] { return quarantine_.OwnEvidence(); };
     hooks.all_evidence = [this] { return quarantine_.AllEvidence(); };
     hooks.on_evidence = [this](const std::vector<part_evidence>& evidence) {
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -63,6 +63,13 @@
     metrics.Counter("waxwingwing_server_notices_total", {{"notice", "leaving"}}).Increment();
     log.Write("server_leaving", {{"server", server.server.str()}, {"group", server.group.str()}});
   }
+  if (news.rate_limit) {
+    metrics.Counter("waxwingwing_server_notices_total", {{"notice", "rate_limit"}}).Increment();
+    log.Write("server_rate_limit", {{"server", server.server.str()},
+                                    {"group", server.group.str()},
+                                    {"limited", notice.rate_limit.has_value()},
+                                    {"requests_per_second", notice.rate_limit.value_or(0)}});
+  }
   if (news.rests_until) {
     metrics.Counter("waxwingwing_server_notices_total", {{"notice", "rest"}}).Increment();
     log.Write("server_rests", {{"server", server.server.str()},
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -75,13 +75,24 @@
                      [](const auto& entry) { return entry.server.empty(); });
 }
 
+std::string InvalidReason(const std::vector<rate_limit_message>& limits) {
+  for (const rate_limit_message& limit : limits) {
+    if (limit.server.empty()) return "a rate limit has no server name";
+    const bool valid = !limit.rate || (std::isfinite(*limit.rate) && *limit.rate >= 0);
+    if (!valid) return "a rate limit is not valid";
+  }
+  return {};
+}
+
 std::string InvalidReason(const vm_load_message& message) {
-  return HasEmptyServerName(message.servers) ? "a server load has no server name" : "";
+  if (HasEmptyServerName(message.servers)) return "a server load has no server name";
+  return InvalidReason(message.limits);
 }
 
 std::string InvalidReason(const directory_feed_message& message) {
   if (message.next < message.from) return "directory feed offsets are not in ascending order";
-  return HasEmptyServerName(message.servers) ? "a server load has no server name" : "";
+  if (HasEmptyServerName(message.servers)) return "a server load has no server name";
+  return InvalidReason(message.limits);
 }
 
 std::string InvalidReason(const stall_message& message) {
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -127,7 +127,7 @@
       {"bytes_before", &bytes_before_}, {"bytes_after", &bytes_after_},
       {"answer_bytes", &answer_bytes_}, {"endless_bytes", &endless_bytes_},
       {"deadly_part", &deadly_part_},   {"advertise", &address_},
-      {"retry_after", &retry_after_}};
+      {"retry_after", &retry_after_},   {"rate_limit", &rate_limit_}};
   const auto text = texts.find(name);
   if (text != texts.end()) {
     *text->second = value.get<std::string>();
@@ -278,6 +278,7 @@
 
 void model_runner::AddNotices(header_list& headers) const {
   if (leaving_) headers.emplace_back("Server-Leaving", "1");
+  if (!rate_limit_.empty()) headers.emplace_back("Server-Limit", rate_limit_);
 }
 
 awaitable<void> model_runner::Run(http_exchange& exchange) {
--- a/stand_ins/model_runner.h
+++ b/stand_ins/model_runner.h
@@ -22,7 +22,8 @@
 /// (bool: registers as draining), `deadly_part` (text: the process ends when it begins to answer a
 /// request whose prompt has this part), `advertise` (text: registers under this address, that of a
 /// proxy), `leaving` (bool: states in each answer that it is leaving, and registers as before),
-/// `retry_after` (text: value of that header in each refusal; empty: none).
+/// `retry_after` (text: value of that header in each refusal; empty: none), `rate_limit` (text: the
+/// requests a second that each answer states as the runner's limit; empty: none).
 ///
 /// Faults that write raw bytes, in which `{id}` stands for the request's id: `bytes_before` (text:
 /// written once, in front of the answer to the next request that runs), `bytes_after` (text:
@@ -84,6 +85,7 @@
   std::uint64_t drop_answers_ = 0;
   std::string deadly_part_;
   std::string retry_after_;
+  std::string rate_limit_;
   std::string bytes_before_;
   std::string bytes_after_;
   std::string answer_bytes_;
--- a/tests/integration/entry_notice_test.cc
+++ b/tests/integration/entry_notice_test.cc
@@ -1,8 +1,11 @@
 // Servers that state in their answers what they want of the VMs.
+#include <algorithm>
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "tests/integration/entry_deployment.h"
 #include "tests/integration/platform_processes.h"
@@ -138,5 +141,78 @@
   CHECK(deployment.Call("POST", "/once/a", {}, "confirm")->status == 200);
 }
 
+/// Callers that send requests to the plain service at all VMs until they are stopped.
+class steady_callers {
+ public:
+  explicit steady_callers(const entry_deployment& deployment) {
+    for (std::size_t caller = 0; caller < kCallers; ++caller) {
+      threads_.emplace_back([this, &deployment, caller] {
+        while (!stopped_) {
+          static_cast<void>(deployment.CallAt(caller % kEntries, "GET", "/lookup/x"));
+          std::this_thread::sleep_for(std::chrono::milliseconds(40));
+        }
+      });
+    }
+  }
+  steady_callers(const steady_callers&) = delete;
+  steady_callers& operator=(const steady_callers&) = delete;
+  ~steady_callers() {
+    stopped_ = true;
+    for (std::thread& thread : threads_) thread.join();
+  }
+
+  static constexpr std::size_t kEntries = 3;
+
+ private:
+  static constexpr std::size_t kCallers = 6;
+  std::atomic<bool> stopped_{false};
+  std::vector<std::thread> threads_;
+};
+
+/// Largest number of requests that arrived at the server within `length`, after the first `skipped`.
+std::size_t MostArrivals(entry_deployment& deployment, child_process& server, std::size_t skipped,
+                         std::chrono::microseconds length) {
+  std::vector<std::int64_t> times;
+  for (const auto& arrival : deployment.Records(server, "arrivals")) {
+    times.push_back(arrival["at_us"].get<std::int64_t>());
+  }
+  std::size_t most = 0;
+  for (std::size_t first = skipped; first < times.size(); ++first) {
+    const auto end = std::lower_bound(times.begin(), times.end(), times[first] + length.count());
+    most = std::max(most, static_cast<std::size_t>(end - times.begin()) - first);
+  }
+  return most;
+}
+
+// Guards against more requests, from all VMs together, than a server says that it takes, and against
+// keeping to a limit that it no longer states.
+TEST_CASE("entry: a server gets no more requests than the limit that it states", "[entry]") {
+  entry_deployment deployment({.services = 2});
+  deployment.WaitUntilServing();
+  deployment.AddEntry("second");
+  deployment.AddEntry("third");
+  const auto all_serve = [&] {
+    for (std::size_t entry = 0; entry < steady_callers::kEntries; ++entry) {
+      const auto answer = deployment.CallAt(entry, "GET", "/lookup/x");
+      if (!answer || answer->status != 200) return false;
+    }
+    return true;
+  };
+  REQUIRE(WaitFor(all_serve, std::chrono::milliseconds(10000)));
+  child_process& limited = *deployment.services().front();
+  const steady_callers callers(deployment);
+  SetFaults(limited, {{"rate_limit", "3"}});
+  // All VMs have passed on an answer that states the limit.
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  const std::size_t before = Arrivals(deployment, limited);
+  std::this_thread::sleep_for(std::chrono::milliseconds(6000));
+  const std::size_t during = Arrivals(deployment, limited);
+  CHECK(MostArrivals(deployment, limited, before, std::chrono::seconds(4)) <= 1.5 * 4 * 3 + 5);
+  CHECK(during > before + 6);
+  SetFaults(limited, {{"rate_limit", ""}});
+  CHECK(WaitFor([&] { return Arrivals(deployment, limited) > during + 100; },
+                std::chrono::milliseconds(6000)));
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
--- a/tests/unit/frame_codec_test.cc
+++ b/tests/unit/frame_codec_test.cc
@@ -60,8 +60,9 @@
           records,
           demands,
           grant,
-          vm_load_message{{{"s1", 4}}},
-          directory_feed_message{7, 9, PackChanges({{"s1", "{}"}}), milliseconds(20), {{"s1", 6}}},
+          vm_load_message{{{"s1", 4}}, {{"s1", 17, 4.5, milliseconds(30)}}},
+          directory_feed_message{7, 9, PackChanges({{"s1", "{}"}}), milliseconds(20), {{"s1", 6}},
+                                 {{"s1", 17, std::nullopt, milliseconds(30)}}},
           stall_message{"g", "s1"},
           crash_evidence_message{
               {{"part", {{"s1", milliseconds(30)}}, milliseconds(20), std::nullopt}}}};
--- a/tests/unit/server_notices_test.cc
+++ b/tests/unit/server_notices_test.cc
@@ -71,6 +71,46 @@
   CHECK(until(1) == kStart + milliseconds(2200));
 }
 
+server_notice RateLimit(std::optional<double> rate) {
+  server_notice notice;
+  notice.rate_limit = rate;
+  notice.states_rate_limit = true;
+  return notice;
+}
+
+// Guards against keeping to a limit that a server no longer states, and against dropping one because
+// of an answer that says nothing about it.
+TEST_CASE("a server's rate limit applies until one of its answers states none", "[notices]") {
+  server_notices notices;
+  CHECK(notices.Record(kServer, 7, RateLimit(4.5), 0, kStart).rate_limit);
+  CHECK_FALSE(notices.Record(kServer, 7, RateLimit(4.5), 0, kStart).rate_limit);
+  CHECK_FALSE(notices.Record(kServer, 7, kNothing, 0, kStart + seconds(1)).rate_limit);
+  CHECK(notices.RateLimit(kServer, 7, kStart + seconds(1)) == 4.5);
+  CHECK_FALSE(notices.RateLimit(kServer, 8, kStart + seconds(1)));
+  CHECK(notices.Record(kServer, 7, RateLimit(std::nullopt), 0, kStart + seconds(2)).rate_limit);
+  CHECK_FALSE(notices.RateLimit(kServer, 7, kStart + seconds(2)));
+  notices.Record(kServer, 7, RateLimit(4.5), 0, kStart + seconds(3));
+  CHECK_FALSE(notices.RateLimit(kServer, 7, kStart + seconds(64)));
+}
+
+// Guards against VMs that send as much as they like to a server whose limit only others have seen,
+// or that never hear of its end.
+TEST_CASE("the latest statement of a server about its limit applies at all VMs", "[notices]") {
+  server_notices first;
+  server_notices second;
+  first.Record(kServer, 7, RateLimit(4.5), 0, kStart);
+  second.MergeRateLimits(first.RateLimits(kStart), kStart);
+  CHECK(second.RateLimit(kServer, 7, kStart) == 4.5);
+  first.Record(kServer, 7, RateLimit(std::nullopt), 0, kStart + seconds(1));
+  first.MergeRateLimits(second.RateLimits(kStart + seconds(1)), kStart + seconds(1));
+  CHECK_FALSE(first.RateLimit(kServer, 7, kStart + seconds(1)));
+  second.MergeRateLimits(first.RateLimits(kStart + seconds(1)), kStart + seconds(1));
+  CHECK_FALSE(second.RateLimit(kServer, 7, kStart + seconds(1)));
+  server_notices unaware;
+  unaware.MergeRateLimits(first.RateLimits(kStart + seconds(1)), kStart + seconds(1));
+  CHECK(unaware.RateLimits(kStart + seconds(1)).empty());
+}
+
 TEST_CASE("notices of more servers than are kept replace the oldest ones", "[notices]") {
   server_notice_options options;
   options.max_servers = 3;
--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -64,6 +64,64 @@
   }
 }
 
+/// Returns the largest number of requests in four seconds that VMs send to a server whose limit they
+/// know, while the store deals its partitions anew and cannot be reached by some VMs for a time.
+std::size_t MaxRequestsToLimitedServer(std::size_t vms, double rate, std::uint64_t seed) {
+  constexpr shared_rate_options kOptions{0.4, 2, 0.3};
+  random_source random(seed);
+  std::vector<shared_rate_limits> limits(vms, shared_rate_limits(kOptions));
+  std::vector<time_point> cut_until(vms, kStart);
+  std::vector<time_point> sent;
+  for (time_point now = kStart; now < kStart + std::chrono::seconds(30); now += milliseconds(20)) {
+    if ((now - kStart) % milliseconds(400) == duration::zero()) {
+      const auto cut = std::count_if(cut_until.begin(), cut_until.end(),
+                                     [&](time_point until) { return now < until; });
+      if (static_cast<std::size_t>(4 * (cut + 1)) <= vms) {
+        cut_until[random.Below(vms)] = now + std::chrono::seconds(3);
+      }
+      // The partitions of VMs that are cut off are dealt to the others.
+      std::vector<work_partitions> dealt(vms);
+      for (std::size_t partition = 0; partition < kPartitionCount; ++partition) {
+        const std::size_t vm = (partition + random.Below(2)) % vms;
+        const std::size_t holder = now < cut_until[vm] ? (vm + 1) % vms : vm;
+        if (now >= cut_until[holder]) dealt[holder].held.insert(partition);
+      }
+      for (std::size_t vm = 0; vm < vms; ++vm) {
+        dealt[vm].all = kPartitionCount;
+        limits[vm].SetPartitions(dealt[vm]);
+      }
+    }
+    for (shared_rate_limits& limit : limits) {
+      if (!limit.MaySend(kServer, rate, now)) continue;
+      limit.ConsumeToken(kServer);
+      sent.push_back(now);
+    }
+  }
+  std::size_t most = 0;
+  for (const time_point first : sent) {
+    const auto within = std::count_if(sent.begin(), sent.end(), [&](time_point at) {
+      return at >= first && at < first + std::chrono::seconds(4);
+    });
+    most = std::max(most, static_cast<std::size_t>(within));
+  }
+  return most;
+}
+
+// Guards against more requests, from all VMs together, than a server has said that it takes.
+TEST_CASE("load pattern: all VMs together keep to the rate that a server states",
+          "[dispatch][load]") {
+  for (const std::size_t vms : {1U, 8U, 72U}) {
+    for (const double rate : {0.5, 4.8, 7.8, 40.0}) {
+      for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+        INFO(vms << " VMs, " << rate << " a second, seed " << seed);
+        const auto most = static_cast<double>(MaxRequestsToLimitedServer(vms, rate, seed));
+        CHECK(most <= 1.5 * 4 * rate + 5);
+        CHECK(most >= 2 * rate);
+      }
+    }
+  }
+}
+
 TEST_CASE("a VM whose parts of the work are not confirmed sends no requests to a cold server",
           "[dispatch]") {
   shared_rate_limits limits;
