--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -172,6 +172,8 @@
   };
 
   void ObserveServers();
+  /// Keeps the epochs of new groups above those of groups that controllers have formed.
+  void ObserveEpoch(const group_membership& membership);
   void AdoptGroups();
   void ReleaseReturnedHead(const group_view& view);
   void AdvanceGroups();
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -125,9 +125,7 @@
     if (!server.registered_since) server.registered_since = now_;
     server.unregistered_since.reset();
     server.others_answered_since.reset();
-    if (known.server.membership) {
-      highest_epoch_ = std::max(highest_epoch_, known.server.membership->epoch);
-    }
+    if (known.server.membership) ObserveEpoch(*known.server.membership);
   }
   for (auto& [id, server] : servers_) {
     if (directory_->Find(id) != nullptr) continue;
@@ -137,6 +135,13 @@
   ProbeUnresponsiveServers();
 }
 
+void group_planner::ObserveEpoch(const group_membership& membership) {
+  // A group of another origin says nothing about the epochs of controllers.
+  const auto name = ParseGroupName(membership.group);
+  if (!name || name->number != membership.epoch) return;
+  highest_epoch_ = std::max(highest_epoch_, membership.epoch);
+}
+
 void group_planner::ProbeUnresponsiveServers() {
   for (auto& [id, server] : servers_) {
     if (server.unanswered_probes == 0 || !server.registered_since) continue;
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -173,13 +173,22 @@
           {"tenants", {{{"name", "first"}, {"api_keys", {kKey}}, {"priority", 1}}}}};
 }
 
-void entry_deployment::WriteOperatorRecord(const std::string& key, const std::string& value) {
+void entry_deployment::WriteRecord(const std::string& topic, const std::string& key,
+                                   const std::string& value) {
   const http_client client(store_->Address());
-  const auto answer =
-      client.Send({"POST", "/v1/log-append?topic=keyed.op&part=0", {}, KeyedRecord(key, value)});
+  const auto answer = client.Send(
+      {"POST", "/v1/log-append?topic=" + topic + "&part=0", {}, KeyedRecord(key, value)});
   if (!answer) throw std::runtime_error(answer.reason());
 }
 
+void entry_deployment::WriteOperatorRecord(const std::string& key, const std::string& value) {
+  WriteRecord("keyed.op", key, value);
+}
+
+void entry_deployment::WriteRegistration(const std::string& key, const std::string& value) {
+  WriteRecord("keyed.servers", key, value);
+}
+
 void entry_deployment::WriteConfiguration(const nlohmann::json& configuration) {
   WriteOperatorRecord("config", configuration.dump());
 }
--- a/tests/integration/entry_deployment.h
+++ b/tests/integration/entry_deployment.h
@@ -44,6 +44,8 @@
   child_process& ProxyOf(const std::string& name) { return *proxies_.at(name); }
   /// Writes a record of the operators; an empty value removes the key.
   void WriteOperatorRecord(const std::string& key, const std::string& value);
+  /// Writes an entry among the registrations of servers.
+  void WriteRegistration(const std::string& key, const std::string& value);
   /// The configuration of these tests with another version.
   nlohmann::json Configuration(std::uint64_t version) const;
   void WriteConfiguration(const nlohmann::json& configuration);
@@ -96,6 +98,7 @@
 
   nlohmann::json Settings(const std::string& vm, const std::string& caller_address,
                           const std::string& ready_address) const;
+  void WriteRecord(const std::string& topic, const std::string& key, const std::string& value);
   child_process& AddEntryVm(const std::string& name, const std::string& vm);
   std::unique_ptr<child_process> StartEntry(const std::string& name,
                                             const nlohmann::json& settings);
--- /dev/null
+++ b/tests/integration/entry_registration_test.cc
@@ -0,0 +1,89 @@
+// Entries that another writer left among the registrations of servers.
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "tests/integration/entry_deployment.h"
+#include "tests/integration/wait_for.h"
+
+namespace waxwingwing::integration {
+namespace {
+
+nlohmann::json Registration() {
+  return {{"service", "pool"},       {"addr", "127.0.0.1:9"},   {"zone", "ifo"},
+          {"version", "v1"},         {"slots", 26},             {"state", "ready"},
+          {"cold_left_ms", 0},       {"domain", "ifo-d0"},      {"staged", {"large"}},
+          {"born", 1700000000000},   {"models", {{{"name", "large"}, {"version", 1}}}},
+          {"seq", 4}};
+}
+
+nlohmann::json With(const std::string& field, const nlohmann::json& value) {
+  nlohmann::json registration = Registration();
+  registration[field] = value;
+  return registration;
+}
+
+nlohmann::json Group(std::uint64_t epoch, std::uint64_t rank) {
+  return {{"name", "other"}, {"epoch", epoch}, {"rank", rank}, {"state", "open"}};
+}
+
+std::vector<std::string> OddEntries() {
+  constexpr std::uint64_t kLargest = ~std::uint64_t{0};
+  std::string nested = Registration().dump();
+  nested.insert(1, "\"models\":" + std::string(50000, '[') + std::string(50000, ']') + ",");
+  std::string infinite = Registration().dump();
+  infinite.insert(1, "\"weight\":1e999,");
+  return {nested,
+          std::string(100000, '{'),
+          infinite,
+          "\xff\xfe",
+          With("cold_left_ms", 1e300).dump(),
+          With("slots", kLargest).dump(),
+          With("seq", kLargest).dump(),
+          With("born", kLargest).dump(),
+          With("group", Group(kLargest, 0)).dump(),
+          With("group", Group(9, 1000000)).dump(),
+          With("addr", "127.0.0.1:65536").dump(),
+          With("addr", "127.0.0.1:0").dump(),
+          With("addr", "127.0.0.1:99999999999999999999").dump()};
+}
+
+// Guards against VMs that end, or that no longer follow the list of servers, because of one entry
+// that no server wrote.
+TEST_CASE("entry: an odd entry among the registrations changes nothing for the others", "[entry]") {
+  entry_deployment deployment({.runners = 3, .services = 2});
+  deployment.WaitUntilServing();
+  const std::vector<std::string> entries = OddEntries();
+  for (std::size_t i = 0; i < entries.size(); ++i) {
+    deployment.WriteRegistration("odd-" + std::to_string(i), entries[i]);
+  }
+  SECTION("that a VM reads when it follows the list") {}
+  SECTION("that a VM finds when it starts") {
+    deployment.entry().Kill();
+    deployment.RestartEntry(0);
+  }
+  deployment.WaitUntilServing();
+  deployment.Member().Kill();
+  CHECK(WaitFor([&] { return !deployment.LogLines("server_removed").empty(); },
+                milliseconds(8000)));
+  deployment.SetFault(deployment.service(), "drain", true);
+  CHECK(WaitFor(
+      [&] {
+        const std::size_t before = deployment.Records(deployment.service(), "runs").size();
+        for (int i = 0; i < 10; ++i) {
+          if (!deployment.Call("GET", "/lookup/x")) return false;
+        }
+        return deployment.Records(deployment.service(), "runs").size() == before;
+      },
+      milliseconds(5000)));
+  CHECK(WaitFor(
+      [&] {
+        const auto stream = deployment.Stream();
+        return stream && stream->status == 200;
+      },
+      milliseconds(8000)));
+  CHECK(deployment.entry().Running());
+}
+
+}  // namespace
+}  // namespace waxwingwing::integration
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -68,6 +68,33 @@
   CHECK(joins.front().epoch > epoch_floor);
 }
 
+// Guards against epochs that overflow, after which servers reject all joins, because of an entry of
+// another writer.
+TEST_CASE("the epoch of a group that no controller has named does not count", "[formation]") {
+  const time_point now{std::chrono::hours(1)};
+  // Three free servers.
+  server_directory directory = JoinedGroup({}, 0, now, 3);
+  backend_server odd = directory.entries().begin()->second.server;
+  odd.id = backend_server_id("odd");
+  odd.fabric = fabric_domain_id("d1");
+  odd.membership = group_membership{server_group_id("other"), std::uint64_t{1} << 62U, 0,
+                                    membership_state::kReady};
+  directory.Update(odd, now);
+  service_settings service;
+  service.id = service_id("pool");
+  service.models = {{"small", 3, 1.0}};
+  group_planner planner({});
+  planner.Reset(2000);
+  std::vector<formation_order> joins;
+  for (int step = 1; step < 100 && joins.empty(); ++step) {
+    for (const formation_order& order : planner.Plan(service, directory, now + milliseconds(60 * step))) {
+      if (order.action == formation_action::kJoin) joins.push_back(order);
+    }
+  }
+  REQUIRE(!joins.empty());
+  CHECK(joins.front().epoch < 3000);
+}
+
 TEST_CASE("a fabric domain forms one group of each model and keeps two spares loaded",
           "[formation]") {
   formation_simulation simulation(TwoModels(), 2, 11, 1);
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <cstdint>
+#include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -136,6 +138,33 @@
   CHECK(!DecodeServer("i-1", "\xff\xfe"));
 }
 
+// Guards against times, counts and epochs out of a registration that overflow or use up the memory,
+// and against a server at a port to which nothing can connect.
+TEST_CASE("a registration with a number that is too large yields no server", "[platform]") {
+  const auto is_decoded = [](const std::string& path, const json& value) {
+    json record = ServerRecord();
+    record[json::json_pointer(path)] = value;
+    return DecodeServer("i-1", record.dump()).has_value();
+  };
+  CHECK(is_decoded("/cold_left_ms", 3000));
+  CHECK_FALSE(is_decoded("/cold_left_ms", 1e300));
+  CHECK_FALSE(is_decoded("/cold_left_ms", std::numeric_limits<std::uint64_t>::max()));
+  CHECK_FALSE(is_decoded("/slots", std::numeric_limits<std::uint64_t>::max()));
+  CHECK_FALSE(is_decoded("/born", std::numeric_limits<std::uint64_t>::max()));
+  CHECK_FALSE(is_decoded("/seq", std::numeric_limits<std::uint64_t>::max()));
+  CHECK_FALSE(is_decoded("/group/rank", 1000000));
+  CHECK_FALSE(is_decoded("/group/epoch", std::numeric_limits<std::uint64_t>::max()));
+  for (const char* address : {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1"}) {
+    INFO(address);
+    CHECK_FALSE(is_decoded("/addr", address));
+  }
+  const std::string huge = R"("cold_left_ms":1e999)";
+  std::string text = ServerRecord().dump();
+  text.replace(text.find(R"("cold_left_ms":0)"), huge.size() - 4, huge);
+  CHECK_FALSE(DecodeServer("i-1", text));
+  CHECK_FALSE(DecodeServer("i-1", std::string(100000, '[')));
+}
+
 TEST_CASE("records with random faults are refused or decoded without a crash", "[platform][fuzz]") {
   random_source random(11);
   const std::string configuration = ConfigurationRecord().dump();
