tests: show that an answer that ends within its head is not passed on

Report of other operators: a server stopped in the middle of its answer's head, and clients got a whole 200 with an empty or short body.

--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -217,6 +217,38 @@
   CHECK_FALSE(received.complete);
 }
 
+/// Beginnings of an answer's head, none of which is a whole head.
+std::vector<std::string> PartialHeads() {
+  const std::string head = SignedHead(
+      "200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: x\r\n");
+  std::vector<std::string> heads;
+  for (std::size_t size = 1; size < head.size(); ++size) {
+    // Each place in the status line and around the ends of lines, and some others.
+    const bool near_end = head.find("\r\n", size < 2 ? 0 : size - 2) < size + 2;
+    if (size < 20 || near_end || size % 11 == 0) heads.push_back(head.substr(0, size));
+  }
+  return heads;
+}
+
+// Guards against giving a caller a whole answer with an empty or short body when the server stopped
+// within the head of its answer.
+TEST_CASE("entry: an answer that ends within its head is not passed on as one", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  child_process& head_runner = deployment.Head();
+  for (const std::string& bytes : PartialHeads()) {
+    INFO(bytes);
+    deployment.SetFault(deployment.service(), "answer_bytes", bytes);
+    const auto once = deployment.Call("POST", "/once/a", {}, "confirm");
+    CHECK((!once || once->status == 502));
+    const auto lookup = deployment.Call("GET", "/lookup/x");
+    CHECK((!lookup || lookup->status >= 500));
+    deployment.SetFault(head_runner, "answer_bytes", bytes);
+    const received_stream stream = ReceiveStream(deployment, "partial-head");
+    CHECK(stream.status != 200);
+  }
+}
+
 constexpr std::size_t kCallers = 160;
 /// An entry VM has 260 MB.
 constexpr std::size_t kMemoryLimitKilobytes = std::size_t{130} * 1024;
