tests: show that each call that runs while a VM stops is answered whole

Report of other operators: in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them calls that must not be repeated.

--- a/tests/integration/http_connection.cc
+++ b/tests/integration/http_connection.cc
@@ -36,14 +36,14 @@
 }
 
 http_connection::error_code http_connection::Write(const std::string& host, const http_call& call,
-                                                   time_point deadline) {
+                                                   time_point deadline, bool keep_alive) {
   http::request<http::string_body> request;
   request.version(11);
   request.method_string(call.method);
   request.target(call.path);
   request.set(http::field::host, host);
   for (const auto& [name, value] : call.headers) request.set(name, value);
-  request.keep_alive(false);
+  request.keep_alive(keep_alive);
   request.body() = call.body;
   request.prepare_payload();
   error_code outcome;
--- a/tests/integration/http_connection.h
+++ b/tests/integration/http_connection.h
@@ -30,7 +30,9 @@
 
   /// `receive_buffer_bytes` sets the size of the socket's buffer; 0: the system's default.
   error_code Connect(const std::string& address, time_point deadline, int receive_buffer_bytes = 0);
-  error_code Write(const std::string& host, const http_call& call, time_point deadline);
+  /// `keep_alive`: asks the server to keep the connection open after its answer.
+  error_code Write(const std::string& host, const http_call& call, time_point deadline,
+                   bool keep_alive = false);
   /// Reads the whole answer.
   error_code Read(parser& into, time_point deadline);
   /// Reads what is there, at least one byte.
