forward: log which conditions kept servers from being selected

A refusal's line named one reason for all servers (all_full, all_suspended, all_resting). Its failure now counts the conditions, such as 'full=3 resting=1', so that one line leads from a request to servers that leave, rest, or have stated a limit.

--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -76,6 +76,9 @@
   time_point AvailableAt(const std::vector<dispatch_candidate>& candidates,
                          const std::set<backend_server_id>& excluded, time_point now);
 
+  /// The conditions that exclude candidates now, each with their number, for log lines.
+  std::string DescribeExclusions(const std::vector<dispatch_candidate>& candidates,
+                                 const std::set<backend_server_id>& excluded, time_point now);
   /// The first condition that excludes the server now, other than that it was tried already.
   std::optional<server_exclusion> ExclusionOf(const dispatch_candidate& candidate, time_point now);
 
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -133,6 +133,25 @@
   return earliest;
 }
 
+std::string server_selection::DescribeExclusions(const std::vector<dispatch_candidate>& candidates,
+                                                 const std::set<backend_server_id>& excluded,
+                                                 time_point now) {
+  std::map<std::string, std::size_t> counts;
+  for (const dispatch_candidate& candidate : candidates) {
+    const auto exclusion = ExclusionOf(candidate, now);
+    if (excluded.contains(candidate.server)) {
+      ++counts["tried"];
+    } else if (exclusion) {
+      ++counts[exclusion->reason];
+    }
+  }
+  std::string text;
+  for (const auto& [reason, count] : counts) {
+    text += (text.empty() ? "" : " ") + reason + "=" + std::to_string(count);
+  }
+  return text;
+}
+
 std::optional<server_exclusion> server_selection::ExclusionOf(const dispatch_candidate& candidate,
                                                               time_point now) {
   for (const condition& known : kConditions) {
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -326,6 +326,10 @@
   } else if (QuarantinedUntil()) {
     FailRequest(502, kQuarantinedPrompt);
   } else {
+    if (last_failure_.empty()) {
+      const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
+      last_failure_ = core_.selection.DescribeExclusions(candidates, tried_, core_.Now());
+    }
     FailRequest(502, NameOf(selection_failure_));
   }
 }
--- a/tests/integration/entry_notice_test.cc
+++ b/tests/integration/entry_notice_test.cc
@@ -128,6 +128,14 @@
   CHECK(seconds > 1.2);
   CHECK(seconds < 2.5);
   CHECK(Arrivals(deployment, deployment.service()) == 1);
+  CHECK(WaitFor(
+      [&] {
+        const auto lines = deployment.LogLines("request_ended");
+        return std::any_of(lines.begin(), lines.end(), [](const auto& line) {
+          return line["reason"] == "all_resting" && line["failure"] == "resting=1";
+        });
+      },
+      std::chrono::milliseconds(2000)));
 }
 
 // Guards against taking a malformed time for one.
