--- a/include/waxwingwing/dispatch/server_notices.h
+++ b/include/waxwingwing/dispatch/server_notices.h
@@ -40,7 +40,8 @@
 struct server_notice_options {
   /// Longest time for which a server may ask to get no requests; longer ones are cut to it.
   milliseconds max_rest{60000};
-  /// Extra time without requests, as a fraction of a rest, over which the returns of VMs are spread.
+  /// Extra time without requests, as a fraction of a rest, over which the returns of VMs are
+  /// spread.
   double rest_spread = 0.1;
   milliseconds max_rest_spread{500};
   /// How long a rate limit applies after its last statement.
@@ -52,8 +53,8 @@
 
 /// What backend servers have stated about themselves, by server and incarnation.
 ///
-/// A server that starts again, which its registration shows, begins without notices. Notices outlive
-/// a registration that has lapsed. Use from one thread.
+/// A server that starts again, which its registration shows, begins without notices. Notices
+/// outlive a registration that has lapsed. Use from one thread.
 class server_notices {
  public:
   explicit server_notices(const server_notice_options& options = {}) : options_(options) {}
@@ -67,8 +68,8 @@
     bool rate_limit = false;
   };
 
-  /// Records the notice of a server's incarnation `born`. `spread`, from 0 to 1, is this VM's random
-  /// part of the extra time after a rest.
+  /// Records the notice of a server's incarnation `born`. `spread`, from 0 to 1, is this VM's
+  /// random part of the extra time after a rest.
   changes Record(const backend_server_id& server, std::uint64_t born, const server_notice& notice,
                  double spread, time_point now);
 
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -10,11 +10,11 @@
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/random_source.h"
-#include "waxwingwing/dispatch/shared_rate_limits.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_load.h"
 #include "waxwingwing/dispatch/server_notices.h"
 #include "waxwingwing/dispatch/server_requests.h"
+#include "waxwingwing/dispatch/shared_rate_limits.h"
 
 namespace waxwingwing {
 
--- a/include/waxwingwing/dispatch/shared_rate_limits.h
+++ b/include/waxwingwing/dispatch/shared_rate_limits.h
@@ -12,8 +12,8 @@
 
 /// Limits of a `shared_rate_limits`.
 struct shared_rate_options {
-  /// Requests that all VMs together may send to a server at once: a fraction of those of one second,
-  /// and a number beyond that.
+  /// Requests that all VMs together may send to a server at once: a fraction of those of one
+  /// second, and a number beyond that.
   double burst_fraction = 0.4;
   double base_burst = 0;
   /// Part of the rates that applies while the store has not confirmed this VM's partitions, which
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -194,7 +194,8 @@
   MSGPACK_DEFINE(server, running)
 };
 
-/// A backend server's last statement about the rate of requests that it takes from all VMs together.
+/// A backend server's last statement about the rate of requests that it takes from all VMs
+/// together.
 struct rate_limit_message {
   std::string server;
   /// Unix time in milliseconds at which the server's incarnation started.
--- a/src/dispatch/server_notices.cc
+++ b/src/dispatch/server_notices.cc
@@ -114,8 +114,8 @@
     return IsEmpty(known) || (is_old && !is_known(item.first));
   });
   while (notices_.size() > options_.max_servers) {
-    notices_.erase(std::min_element(
-        notices_.begin(), notices_.end(), [](const auto& left, const auto& right) {
+    notices_.erase(
+        std::min_element(notices_.begin(), notices_.end(), [](const auto& left, const auto& right) {
           return left.second.updated_at < right.second.updated_at;
         }));
   }
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -49,7 +49,10 @@
 
 server_selection::server_selection(selection_options options, failure_domain_id own_domain,
                                    random_source random)
-    : options_(options), own_domain_(std::move(own_domain)), random_(random), stated_(kStatedRates) {}
+    : options_(options),
+      own_domain_(std::move(own_domain)),
+      random_(random),
+      stated_(kStatedRates) {}
 
 void server_selection::SetPartitions(const work_partitions& partitions) {
   cold_.SetPartitions(partitions);
@@ -201,8 +204,7 @@
 server_notices::changes server_selection::RecordNotice(const dispatch_candidate& server,
                                                        const server_notice& notice,
                                                        time_point now) {
-  const auto news =
-      notices_.Record(server.server, server.born, notice, random_.Fraction(), now);
+  const auto news = notices_.Record(server.server, server.born, notice, random_.Fraction(), now);
   if (news.rests_until) loads_[server.server].RecordRest();
   return news;
 }
--- a/src/dispatch/shared_rate_limits.cc
+++ b/src/dispatch/shared_rate_limits.cc
@@ -16,10 +16,9 @@
   for (auto& [server, bucket] : buckets_) bucket.joint_rate.reset();
 }
 
-shared_rate_limits::bucket shared_rate_limits::MakeBucket(const backend_server_id& server, double rate,
-                                                      time_point now) const {
-  const auto selected_count =
-      static_cast<std::uint64_t>(
+shared_rate_limits::bucket shared_rate_limits::MakeBucket(const backend_server_id& server,
+                                                          double rate, time_point now) const {
+  const auto selected_count = static_cast<std::uint64_t>(
       std::max(1.0, std::floor(rate * options_.burst_fraction + options_.base_burst)));
   std::size_t held = 0;
   for (std::uint64_t selected = 0; selected < selected_count; ++selected) {
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -30,7 +30,7 @@
 }  // namespace
 
 const char* NameOf(exchange_abort abort_reason) {
-  static constexpr std::array kNames = {"none",        "caller_left", "deadline",  "connect_limit",
+  static constexpr std::array kNames = {"none",        "caller_left", "deadline",   "connect_limit",
                                         "first_limit", "stall",       "superseded", "withdrawn"};
   return kNames.at(static_cast<std::size_t>(abort_reason));
 }
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -269,9 +269,8 @@
 }
 
 header_list model_runner::AnswerHeaders(const http_exchange& exchange) const {
-  header_list headers = {
-      {"Request-Id", exchange.Header("Request-Id")},
-      {"Response-Signature", FLAGS_vm_id + "." + exchange.Header("Request-Id")}};
+  header_list headers = {{"Request-Id", exchange.Header("Request-Id")},
+                         {"Response-Signature", FLAGS_vm_id + "." + exchange.Header("Request-Id")}};
   AddNotices(headers);
   return headers;
 }
--- a/stand_ins/model_runner.h
+++ b/stand_ins/model_runner.h
@@ -12,8 +12,8 @@
 /// Stand-in of kind `model_runner`: a model runner of the users' platform.
 ///
 /// Registers in the store, takes orders to join and open groups, and answers requests with a stream
-/// of numbered events (`--streams`) or with one body. Records each request that arrived, each that it
-/// ran and each order.
+/// of numbered events (`--streams`) or with one body. Records each request that arrived, each that
+/// it ran and each order.
 ///
 /// Additional faults: `stall` (bool: streams stall while it is set), `break_after` (count: the next
 /// stream breaks off in the middle of the event that follows this many events), `reject` (count:
--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -220,7 +220,8 @@
 /// Beginnings of an answer's head, none of which is a whole head.
 std::vector<std::string> PartialHeads() {
   const std::string head = SignedHead(
-      "200 OK", "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: x\r\n");
+      "200 OK",
+      "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nKeep-Alive: x\r\n");
   std::vector<std::string> heads;
   for (std::size_t size = 1; size < head.size(); ++size) {
     // Each place in the status line and around the ends of lines, and some others.
--- a/tests/integration/entry_notice_test.cc
+++ b/tests/integration/entry_notice_test.cc
@@ -40,9 +40,7 @@
   SetFaults(deployment.ProxyOf("store"), {{"cut", true}});
   ReachServer(deployment, leaving);
   const std::size_t arrivals = Arrivals(deployment, leaving);
-  SECTION("also when it does not say so again") {
-    deployment.SetFault(leaving, "leaving", false);
-  }
+  SECTION("also when it does not say so again") { deployment.SetFault(leaving, "leaving", false); }
   SECTION("also when the store is back") {
     SetFaults(deployment.ProxyOf("store"), {{"cut", false}});
     std::this_thread::sleep_for(std::chrono::milliseconds(1500));
@@ -177,7 +175,8 @@
   std::vector<std::thread> threads_;
 };
 
-/// Largest number of requests that arrived at the server within `length`, after the first `skipped`.
+/// Largest number of requests that arrived at the server within `length`, after the first
+/// `skipped`.
 std::size_t MostArrivals(entry_deployment& deployment, child_process& server, std::size_t skipped,
                          std::chrono::microseconds length) {
   std::vector<std::int64_t> times;
@@ -192,8 +191,8 @@
   return most;
 }
 
-// Guards against more requests, from all VMs together, than a server says that it takes, and against
-// keeping to a limit that it no longer states.
+// Guards against more requests, from all VMs together, than a server says that it takes, and
+// against keeping to a limit that it no longer states.
 TEST_CASE("entry: a server gets no more requests than the limit that it states", "[entry]") {
   entry_deployment deployment({.services = 2});
   deployment.WaitUntilServing();
--- a/tests/integration/entry_registration_test.cc
+++ b/tests/integration/entry_registration_test.cc
@@ -10,10 +10,17 @@
 namespace {
 
 nlohmann::json Registration() {
-  return {{"service", "pool"},       {"addr", "127.0.0.1:9"},   {"zone", "ifo"},
-          {"version", "v1"},         {"slots", 26},             {"state", "ready"},
-          {"cold_left_ms", 0},       {"domain", "ifo-d0"},      {"staged", {"large"}},
-          {"born", 1700000000000},   {"models", {{{"name", "large"}, {"version", 1}}}},
+  return {{"service", "pool"},
+          {"addr", "127.0.0.1:9"},
+          {"zone", "ifo"},
+          {"version", "v1"},
+          {"slots", 26},
+          {"state", "ready"},
+          {"cold_left_ms", 0},
+          {"domain", "ifo-d0"},
+          {"staged", {"large"}},
+          {"born", 1700000000000},
+          {"models", {{{"name", "large"}, {"version", 1}}}},
           {"seq", 4}};
 }
 
@@ -64,8 +71,8 @@
   }
   deployment.WaitUntilServing();
   deployment.Member().Kill();
-  CHECK(WaitFor([&] { return !deployment.LogLines("server_removed").empty(); },
-                milliseconds(8000)));
+  CHECK(
+      WaitFor([&] { return !deployment.LogLines("server_removed").empty(); }, milliseconds(8000)));
   deployment.SetFault(deployment.service(), "drain", true);
   CHECK(WaitFor(
       [&] {
--- a/tests/integration/entry_stop_test.cc
+++ b/tests/integration/entry_stop_test.cc
@@ -53,12 +53,11 @@
 
   /// Returns whether the connection stays open.
   bool Call(http_connection& connection, const std::string& id, time_point deadline) {
-    const http_call call{"POST",
-                         "/once/a",
-                         {{"Request-Id", id},
-                          {"Deadline-Ms", "1000"},
-                          {"Api-Key", "key-of-first-organisation"}},
-                         "confirm"};
+    const http_call call{
+        "POST",
+        "/once/a",
+        {{"Request-Id", id}, {"Deadline-Ms", "1000"}, {"Api-Key", "key-of-first-organisation"}},
+        "confirm"};
     http_connection::parser parser;
     auto error = connection.Write("desk.example", call, deadline, true);
     if (!error) error = connection.Read(parser, deadline);
--- a/tests/unit/frame_codec_test.cc
+++ b/tests/unit/frame_codec_test.cc
@@ -61,7 +61,11 @@
           demands,
           grant,
           vm_load_message{{{"s1", 4}}, {{"s1", 17, 4.5, milliseconds(30)}}},
-          directory_feed_message{7, 9, PackChanges({{"s1", "{}"}}), milliseconds(20), {{"s1", 6}},
+          directory_feed_message{7,
+                                 9,
+                                 PackChanges({{"s1", "{}"}}),
+                                 milliseconds(20),
+                                 {{"s1", 6}},
                                  {{"s1", 17, std::nullopt, milliseconds(30)}}},
           stall_message{"g", "s1"},
           crash_evidence_message{
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -87,7 +87,8 @@
   planner.Reset(2000);
   std::vector<formation_order> joins;
   for (int step = 1; step < 100 && joins.empty(); ++step) {
-    for (const formation_order& order : planner.Plan(service, directory, now + milliseconds(60 * step))) {
+    for (const formation_order& order :
+         planner.Plan(service, directory, now + milliseconds(60 * step))) {
       if (order.action == formation_action::kJoin) joins.push_back(order);
     }
   }
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -171,7 +171,8 @@
   CHECK_FALSE(is_decoded("/seq", std::numeric_limits<std::uint64_t>::max()));
   CHECK_FALSE(is_decoded("/group/rank", 1000000));
   CHECK_FALSE(is_decoded("/group/epoch", std::numeric_limits<std::uint64_t>::max()));
-  for (const char* address : {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1"}) {
+  for (const char* address :
+       {"10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:99999999999", "10.0.0.9:-1"}) {
     INFO(address);
     CHECK_FALSE(is_decoded("/addr", address));
   }
--- a/tests/unit/server_notices_test.cc
+++ b/tests/unit/server_notices_test.cc
@@ -78,8 +78,8 @@
   return notice;
 }
 
-// Guards against keeping to a limit that a server no longer states, and against dropping one because
-// of an answer that says nothing about it.
+// Guards against keeping to a limit that a server no longer states, and against dropping one
+// because of an answer that says nothing about it.
 TEST_CASE("a server's rate limit applies until one of its answers states none", "[notices]") {
   server_notices notices;
   CHECK(notices.Record(kServer, 7, RateLimit(4.5), 0, kStart).rate_limit);
@@ -116,7 +116,8 @@
   options.max_servers = 3;
   server_notices notices(options);
   for (int i = 0; i < 5; ++i) {
-    notices.Record(backend_server_id("s" + std::to_string(i)), 1, Leaving(), 0, kStart + seconds(i));
+    notices.Record(backend_server_id("s" + std::to_string(i)), 1, Leaving(), 0,
+                   kStart + seconds(i));
   }
   notices.Prune([](const backend_server_id&) { return true; }, kStart + seconds(5));
   CHECK_FALSE(notices.IsLeaving(backend_server_id("s1"), 1));
--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -64,8 +64,9 @@
   }
 }
 
-/// Returns the largest number of requests in four seconds that VMs send to a server whose limit they
-/// know, while the store deals its partitions anew and cannot be reached by some VMs for a time.
+/// Returns the largest number of requests in four seconds that VMs send to a server whose limit
+/// they know, while the store deals its partitions anew and cannot be reached by some VMs for a
+/// time.
 std::size_t MaxRequestsToLimitedServer(std::size_t vms, double rate, std::uint64_t seed) {
   constexpr shared_rate_options kOptions{0.4, 2, 0.3};
   random_source random(seed);
@@ -190,13 +191,11 @@
 
   /// Retries of the last window.
   std::size_t WindowRetries() const {
-    const auto first = retries_.size() > kWindowSteps ? retries_.end() - kWindowSteps
-                                                      : retries_.begin();
+    const auto first =
+        retries_.size() > kWindowSteps ? retries_.end() - kWindowSteps : retries_.begin();
     return std::accumulate(first, retries_.end(), std::size_t{0});
   }
-  static double Allowed() {
-    return kRatio * kRequestsPerStep * kBusyVms * kWindowSteps + kSlack;
-  }
+  static double Allowed() { return kRatio * kRequestsPerStep * kBusyVms * kWindowSteps + kSlack; }
 
  private:
   static constexpr int kRequestsPerStep = 1;
