dispatch: divide stated limits among more VMs

With 0.4 of the rate and two more parts, four VMs at most could send to a server that takes five requests a second; callers of the others found fewer servers. The operators' bound leaves room for 0.8 of the rate and three parts. Low rates are divided among fewer VMs, so that each of them may send soon.

--- a/include/waxwingwing/dispatch/shared_rate_limits.h
+++ b/include/waxwingwing/dispatch/shared_rate_limits.h
@@ -21,6 +21,11 @@
   double unconfirmed_part = 0;
 };
 
+/// Division of the rates that servers state themselves. Operators allow 1.5 times such a rate plus
+/// five requests in four seconds. A VM whose partitions are not confirmed goes on with a part of
+/// its rate, since most servers may have stated a limit.
+inline constexpr shared_rate_options kStatedRates{0.8, 3, 0.3};
+
 /// Rate limiter that keeps all VMs together within a rate of requests to each server.
 ///
 /// The rate of a server is divided equally among a few partitions of the work, which are selected
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -25,10 +25,6 @@
 /// Largest random load added to a score, in requests per slot; spreads the requests of VMs that see
 /// equal loads.
 constexpr double kRandomLoad = 0.01;
-/// Division of the rates that servers state. Operators allow 1.5 times the rate plus five requests
-/// in four seconds. A VM whose partitions are not confirmed goes on with a part of its rate, since
-/// most servers may have stated a limit.
-constexpr shared_rate_options kStatedRates{0.4, 2, 0.3};
 
 }  // namespace
 
--- a/src/dispatch/shared_rate_limits.cc
+++ b/src/dispatch/shared_rate_limits.cc
@@ -6,6 +6,13 @@
 #include "waxwingwing/core/hash.h"
 
 namespace waxwingwing {
+namespace {
+
+/// Time of a low rate that the base burst may amount to. Low rates are divided among fewer VMs, so
+/// that each of them may send a request soon.
+constexpr double kBaseBurstSeconds = 2;
+
+}  // namespace
 
 void shared_rate_limits::SetPartitions(const work_partitions& partitions) {
   const bool confirmed = !partitions.held.empty();
@@ -18,8 +25,9 @@
 
 shared_rate_limits::bucket shared_rate_limits::MakeBucket(const backend_server_id& server,
                                                           double rate, time_point now) const {
-  const auto selected_count = static_cast<std::uint64_t>(
-      std::max(1.0, std::floor(rate * options_.burst_fraction + options_.base_burst)));
+  const double burst =
+      rate * options_.burst_fraction + std::min(options_.base_burst, rate * kBaseBurstSeconds);
+  const auto selected_count = static_cast<std::uint64_t>(std::max(1.0, std::floor(burst)));
   std::size_t held = 0;
   for (std::uint64_t selected = 0; selected < selected_count; ++selected) {
     held += partitions_.held.contains(StableHash(server.str(), selected) % partitions_.all) ? 1 : 0;
--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -68,9 +68,8 @@
 /// they know, while the store deals its partitions anew and cannot be reached by some VMs for a
 /// time.
 std::size_t MaxRequestsToLimitedServer(std::size_t vms, double rate, std::uint64_t seed) {
-  constexpr shared_rate_options kOptions{0.4, 2, 0.3};
   random_source random(seed);
-  std::vector<shared_rate_limits> limits(vms, shared_rate_limits(kOptions));
+  std::vector<shared_rate_limits> limits(vms, shared_rate_limits(kStatedRates));
   std::vector<time_point> cut_until(vms, kStart);
   std::vector<time_point> sent;
   for (time_point now = kStart; now < kStart + std::chrono::seconds(30); now += milliseconds(20)) {
