forward: do not look for other servers when all of them rest

A request that only resting servers could take made its VM read the list of servers again every 0.3 s, as if a server's state contradicted the list. Each read is a call to the store, and a rest says nothing about the list.

Only a missing, suspended or leaving server counts as a contradiction now.

--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -181,7 +181,9 @@
       selected = SelectServer();
     }
     if (selected == nullptr) {
-      if (selection_failure_ != selection_failure::kAllFull) core_.hooks.OnDirectoryMismatch();
+      const bool servers_known = selection_failure_ == selection_failure::kAllFull ||
+                                 selection_failure_ == selection_failure::kAllResting;
+      if (!servers_known) core_.hooks.OnDirectoryMismatch();
       FailUnselected();
       co_return;
     }
