dispatch: bound the work for a stated limit that is very high

A faulty server that states a limit of, say, 10^18 requests a second would have kept each VM busy without end: the VM counted its parts one by one for as many as the rate allows.

No more parts are counted than the store deals among the VMs. Test: 'a very high rate is divided among the partitions that there are'.

--- a/src/dispatch/shared_rate_limits.cc
+++ b/src/dispatch/shared_rate_limits.cc
@@ -27,7 +27,8 @@
                                                           double rate, time_point now) const {
   const double burst =
       rate * options_.burst_fraction + std::min(options_.base_burst, rate * kBaseBurstSeconds);
-  const auto selected_count = static_cast<std::uint64_t>(std::max(1.0, std::floor(burst)));
+  const auto selected_count = static_cast<std::uint64_t>(
+      std::clamp(std::floor(burst), 1.0, static_cast<double>(partitions_.all)));
   std::size_t held = 0;
   for (std::uint64_t selected = 0; selected < selected_count; ++selected) {
     held += partitions_.held.contains(StableHash(server.str(), selected) % partitions_.all) ? 1 : 0;
--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -122,6 +122,16 @@
   }
 }
 
+// Guards against a VM that is busy for long, or fails, because of a faulty server's limit.
+TEST_CASE("a very high rate is divided among the partitions that there are", "[dispatch]") {
+  for (const double rate : {1e6, 1e18, 1e300}) {
+    shared_rate_limits limits(kStatedRates);
+    limits.SetPartitions(PartitionsOf(0, 8));
+    CHECK_FALSE(limits.MaySend(kServer, rate, kStart));
+    CHECK(limits.MaySend(kServer, rate, kStart + std::chrono::seconds(1)));
+  }
+}
+
 TEST_CASE("a VM whose parts of the work are not confirmed sends no requests to a cold server",
           "[dispatch]") {
   shared_rate_limits limits;
