dispatch: look up a server's load once for each selection

The table of conditions looked up the load of each candidate again in each check: a selection took 46 us among 66 plain servers in place of 11 to 21 us, and 32 us in place of 10 us among 66 groups (beside other work).

Checks get the load that the selection has looked up, the comparison of loads uses it as well, and conditions that rest on servers' statements are skipped while there are none.

--- a/include/waxwingwing/dispatch/server_notices.h
+++ b/include/waxwingwing/dispatch/server_notices.h
@@ -73,6 +73,8 @@
   changes Record(const backend_server_id& server, std::uint64_t born, const server_notice& notice,
                  double spread, time_point now);
 
+  /// Whether no server has stated anything; almost always so on a calm day.
+  bool empty() const { return notices_.empty(); }
   bool IsLeaving(const backend_server_id& server, std::uint64_t born) const;
   /// End of the time for which the server wants no request from this VM; empty when it is over.
   std::optional<time_point> RestsUntil(const backend_server_id& server, std::uint64_t born,
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -109,24 +109,39 @@
  private:
   /// Returns the end of a condition that excludes the server now; nothing when it does not apply.
   using condition_check = std::optional<time_point> (server_selection::*)(const dispatch_candidate&,
+                                                                          const server_load&,
                                                                           time_point);
   struct condition {
     const char* reason;
     selection_failure failure;
     condition_check check;
+    /// Applies only to servers that have stated something about themselves.
+    bool needs_notice = false;
   };
   static const std::array<condition, 6> kConditions;
 
-  std::optional<time_point> CheckLeaving(const dispatch_candidate& candidate, time_point now);
-  std::optional<time_point> CheckRest(const dispatch_candidate& candidate, time_point now);
-  std::optional<time_point> CheckSuspension(const dispatch_candidate& candidate, time_point now);
-  std::optional<time_point> CheckCapacity(const dispatch_candidate& candidate, time_point now);
-  std::optional<time_point> CheckRateLimit(const dispatch_candidate& candidate, time_point now);
-  std::optional<time_point> CheckColdRate(const dispatch_candidate& candidate, time_point now);
+  std::optional<time_point> CheckLeaving(const dispatch_candidate& candidate,
+                                         const server_load& load, time_point now);
+  std::optional<time_point> CheckRest(const dispatch_candidate& candidate, const server_load& load,
+                                      time_point now);
+  std::optional<time_point> CheckSuspension(const dispatch_candidate& candidate,
+                                            const server_load& load, time_point now);
+  std::optional<time_point> CheckCapacity(const dispatch_candidate& candidate,
+                                          const server_load& load, time_point now);
+  std::optional<time_point> CheckRateLimit(const dispatch_candidate& candidate,
+                                           const server_load& load, time_point now);
+  std::optional<time_point> CheckColdRate(const dispatch_candidate& candidate,
+                                          const server_load& load, time_point now);
+  struct usable_server {
+    const dispatch_candidate* candidate;
+    const server_load* load;
+  };
+
+  std::optional<server_exclusion> ExclusionOf(const dispatch_candidate& candidate,
+                                              const server_load& load, time_point now);
   /// Returns the candidate with the lowest score; compares only a random sample of groups. Reorders
   /// `usable`, which must not be empty.
-  const dispatch_candidate* LeastLoaded(std::vector<const dispatch_candidate*>& usable,
-                                        time_point now);
+  const dispatch_candidate* LeastLoaded(std::vector<usable_server>& usable, time_point now);
   bool IsFull(const dispatch_candidate& candidate, const server_load& load) const;
   double ScoreOf(const dispatch_candidate& candidate, const server_load& load, time_point now);
 
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -35,11 +35,11 @@
 }
 
 const std::array<server_selection::condition, 6> server_selection::kConditions = {{
-    {"leaving", selection_failure::kAllSuspended, &server_selection::CheckLeaving},
-    {"resting", selection_failure::kAllResting, &server_selection::CheckRest},
+    {"leaving", selection_failure::kAllSuspended, &server_selection::CheckLeaving, true},
+    {"resting", selection_failure::kAllResting, &server_selection::CheckRest, true},
     {"suspended", selection_failure::kAllSuspended, &server_selection::CheckSuspension},
     {"full", selection_failure::kAllFull, &server_selection::CheckCapacity},
-    {"rate_limit", selection_failure::kAllFull, &server_selection::CheckRateLimit},
+    {"rate_limit", selection_failure::kAllFull, &server_selection::CheckRateLimit, true},
     {"cold_rate", selection_failure::kAllFull, &server_selection::CheckColdRate},
 }};
 
@@ -66,7 +66,7 @@
     const std::vector<dispatch_candidate>& candidates, const std::set<backend_server_id>& excluded,
     time_point now, selection_failure& failure) {
   failure = selection_failure::kNoServer;
-  std::vector<const dispatch_candidate*> usable;
+  std::vector<usable_server> usable;
   for (const dispatch_candidate& candidate : candidates) {
     server_load& load = loads_[candidate.server];
     if (!candidate.group.empty()) load.SetFirstWindow(FirstWindow(candidate));
@@ -74,11 +74,11 @@
       failure = std::max(failure, selection_failure::kAllSuspended);
       continue;
     }
-    const auto exclusion = ExclusionOf(candidate, now);
+    const auto exclusion = ExclusionOf(candidate, load, now);
     if (exclusion) {
       failure = std::max(failure, exclusion->failure);
     } else {
-      usable.push_back(&candidate);
+      usable.push_back({&candidate, &load});
     }
   }
   if (usable.empty()) return nullptr;
@@ -89,12 +89,12 @@
   return best;
 }
 
-const dispatch_candidate* server_selection::LeastLoaded(
-    std::vector<const dispatch_candidate*>& usable, time_point now) {
+const dispatch_candidate* server_selection::LeastLoaded(std::vector<usable_server>& usable,
+                                                        time_point now) {
   // All VMs see nearly the same loads, which are some hundred ms old, so the least loaded group
   // would get the requests of every VM until the next report. Comparing only two random groups
   // avoids this herding.
-  const bool is_group = !usable.front()->group.empty();
+  const bool is_group = !usable.front().candidate->group.empty();
   if (is_group && usable.size() > kGroupsCompared) {
     for (std::size_t i = 0; i < kGroupsCompared; ++i) {
       std::swap(usable[i], usable[i + random_.Below(usable.size() - i)]);
@@ -103,10 +103,10 @@
   }
   const dispatch_candidate* best = nullptr;
   double best_score = 0;
-  for (const dispatch_candidate* candidate : usable) {
-    const double score = ScoreOf(*candidate, loads_[candidate->server], now);
+  for (const usable_server& server : usable) {
+    const double score = ScoreOf(*server.candidate, *server.load, now);
     if (best != nullptr && score >= best_score) continue;
-    best = candidate;
+    best = server.candidate;
     best_score = score;
   }
   return best;
@@ -153,37 +153,47 @@
 
 std::optional<server_exclusion> server_selection::ExclusionOf(const dispatch_candidate& candidate,
                                                               time_point now) {
+  return ExclusionOf(candidate, loads_[candidate.server], now);
+}
+
+std::optional<server_exclusion> server_selection::ExclusionOf(const dispatch_candidate& candidate,
+                                                              const server_load& load,
+                                                              time_point now) {
   for (const condition& known : kConditions) {
-    const auto until = (this->*known.check)(candidate, now);
+    if (known.needs_notice && notices_.empty()) continue;
+    const auto until = (this->*known.check)(candidate, load, now);
     if (until) return server_exclusion{known.reason, known.failure, *until};
   }
   return std::nullopt;
 }
 
 std::optional<time_point> server_selection::CheckLeaving(const dispatch_candidate& candidate,
+                                                         const server_load& /*load*/,
                                                          time_point /*now*/) {
   if (!notices_.IsLeaving(candidate.server, candidate.born)) return std::nullopt;
   return time_point::max();
 }
 
 std::optional<time_point> server_selection::CheckRest(const dispatch_candidate& candidate,
-                                                      time_point now) {
+                                                      const server_load& /*load*/, time_point now) {
   return notices_.RestsUntil(candidate.server, candidate.born, now);
 }
 
-std::optional<time_point> server_selection::CheckSuspension(const dispatch_candidate& candidate,
+std::optional<time_point> server_selection::CheckSuspension(const dispatch_candidate& /*candidate*/,
+                                                            const server_load& load,
                                                             time_point now) {
-  const server_load& load = loads_[candidate.server];
   return load.IsSuspended(now) ? load.suspended_until() : std::nullopt;
 }
 
 std::optional<time_point> server_selection::CheckCapacity(const dispatch_candidate& candidate,
+                                                          const server_load& load,
                                                           time_point /*now*/) {
-  if (!IsFull(candidate, loads_[candidate.server])) return std::nullopt;
+  if (!IsFull(candidate, load)) return std::nullopt;
   return time_point::max();
 }
 
 std::optional<time_point> server_selection::CheckRateLimit(const dispatch_candidate& candidate,
+                                                           const server_load& /*load*/,
                                                            time_point now) {
   const auto rate = notices_.RateLimit(candidate.server, candidate.born, now);
   if (!rate || stated_.MaySend(candidate.server, *rate, now)) return std::nullopt;
@@ -191,6 +201,7 @@
 }
 
 std::optional<time_point> server_selection::CheckColdRate(const dispatch_candidate& candidate,
+                                                          const server_load& /*load*/,
                                                           time_point now) {
   if (candidate.cold_rate <= 0 || now >= candidate.cold_until) return std::nullopt;
   if (cold_.MaySend(candidate.server, candidate.cold_rate, now)) return std::nullopt;
