tests: keep the tests of notices and of a stop independent of the machine's load

The time for which a refused request may have waited is taken from the VM's own log, the lowest time to come back counts what has passed since the first refusal, and streams of the test of a stop end well before their deadline and begin a second after the signal, so that the process still goes on when it refuses requests.

--- a/tests/integration/entry_notice_test.cc
+++ b/tests/integration/entry_notice_test.cc
@@ -92,8 +92,8 @@
   deployment.WaitUntilServing();
   child_process& resting = *deployment.services().front();
   SetFaults(resting, {{"reject", 1}, {"retry_after", kRest}});
-  ReachServer(deployment, resting);
   const auto start = std::chrono::steady_clock::now();
+  ReachServer(deployment, resting);
   const std::size_t arrivals = Arrivals(deployment, resting);
   while (Since(start) < kRestTime - std::chrono::milliseconds(200)) {
     const auto answer = deployment.Call("GET", "/lookup/x");
@@ -112,25 +112,26 @@
   entry_deployment deployment({});
   deployment.WaitUntilServing();
   SetFaults(deployment.service(), {{"reject", 1}, {"retry_after", kRest}});
+  const auto start = std::chrono::steady_clock::now();
   const auto first = deployment.Call("POST", "/once/a", {}, "confirm");
   REQUIRE(first);
   CHECK(first->status == 503);
-  const auto start = std::chrono::steady_clock::now();
   const auto second = deployment.Call("POST", "/once/a", {}, "confirm");
-  const auto took = Since(start);
   REQUIRE(second);
   CHECK(second->status == 503);
   CHECK(second->body.find("all_resting") != std::string::npos);
-  CHECK(took < std::chrono::milliseconds(120));
   const double seconds = std::stod(second->Header("Retry-After"));
-  CHECK(seconds > 1.2);
-  CHECK(seconds < 2.5);
+  CHECK(seconds > std::chrono::duration<double>(kRestTime - Since(start)).count());
+  // The rest, a tenth of it and the spread of all returns.
+  CHECK(seconds < 2.2);
   CHECK(Arrivals(deployment, deployment.service()) == 1);
   CHECK(WaitFor(
       [&] {
         const auto lines = deployment.LogLines("request_ended");
         return std::any_of(lines.begin(), lines.end(), [](const auto& line) {
-          return line["reason"] == "all_resting" && line["failure"] == "resting=1";
+          // A request waits for a place for 0.3 of its objective, 120 ms.
+          return line["reason"] == "all_resting" && line["failure"] == "resting=1" &&
+                 line["took_ms"] < 120;
         });
       },
       std::chrono::milliseconds(2000)));
--- a/tests/integration/entry_stop_test.cc
+++ b/tests/integration/entry_stop_test.cc
@@ -15,8 +15,10 @@
 namespace waxwingwing::integration {
 namespace {
 
-/// Streams last 3.6 s, so that the process goes on after it has stopped to take requests.
-constexpr std::size_t kEvents = 180;
+/// Streams last 2.4 s and begin a second after the signal, so that the process goes on after it has
+/// stopped to take requests.
+constexpr std::size_t kEvents = 120;
+constexpr std::chrono::milliseconds kStreamDelay{1000};
 
 /// A caller that sends calls that must not be repeated, on one connection as long as it is open.
 class persistent_caller {
@@ -77,6 +79,13 @@
 TEST_CASE("entry: each call that runs while a VM stops is answered whole", "[entry]") {
   entry_deployment deployment({.services = 2, .events = kEvents});
   deployment.WaitUntilServing();
+  std::vector<std::unique_ptr<persistent_caller>> callers;
+  for (int i = 0; i < 4; ++i) {
+    callers.push_back(std::make_unique<persistent_caller>(deployment, "c" + std::to_string(i)));
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(400));
+  deployment.entry().Terminate();
+  std::this_thread::sleep_for(kStreamDelay);
   std::vector<std::size_t> events(3, 0);
   std::vector<std::thread> streams;
   for (std::size_t& received : events) {
@@ -85,12 +94,6 @@
       if (stream) received = entry_deployment::EventIds(stream->body).size();
     });
   }
-  std::vector<std::unique_ptr<persistent_caller>> callers;
-  for (int i = 0; i < 4; ++i) {
-    callers.push_back(std::make_unique<persistent_caller>(deployment, "c" + std::to_string(i)));
-  }
-  std::this_thread::sleep_for(std::chrono::milliseconds(400));
-  deployment.entry().Terminate();
   const auto status = deployment.entry().WaitForExit(std::chrono::milliseconds(8000));
   REQUIRE(status);
   CHECK(status->code == 0);
