--- a/tests/integration/entry_registration_test.cc
+++ b/tests/integration/entry_registration_test.cc
@@ -35,7 +35,7 @@
 }
 
 std::vector<std::string> OddEntries() {
-  constexpr std::uint64_t kLargest = ~std::uint64_t{0};
+  constexpr std::uint64_t largest = ~std::uint64_t{0};
   std::string nested = Registration().dump();
   nested.insert(1, "\"models\":" + std::string(50000, '[') + std::string(50000, ']') + ",");
   std::string infinite = Registration().dump();
@@ -45,10 +45,10 @@
           infinite,
           "\xff\xfe",
           With("cold_left_ms", 1e300).dump(),
-          With("slots", kLargest).dump(),
-          With("seq", kLargest).dump(),
-          With("born", kLargest).dump(),
-          With("group", Group(kLargest, 0)).dump(),
+          With("slots", largest).dump(),
+          With("seq", largest).dump(),
+          With("born", largest).dump(),
+          With("group", Group(largest, 0)).dump(),
           With("group", Group(9, 1000000)).dump(),
           With("addr", "127.0.0.1:65536").dump(),
           With("addr", "127.0.0.1:0").dump(),
--- a/tests/integration/entry_stop_test.cc
+++ b/tests/integration/entry_stop_test.cc
@@ -79,15 +79,16 @@
 TEST_CASE("entry: each call that runs while a VM stops is answered whole", "[entry]") {
   entry_deployment deployment({.services = 2, .events = kEvents});
   deployment.WaitUntilServing();
-  std::vector<std::unique_ptr<persistent_caller>> callers;
-  for (int i = 0; i < 4; ++i) {
-    callers.push_back(std::make_unique<persistent_caller>(deployment, "c" + std::to_string(i)));
+  std::vector<std::unique_ptr<persistent_caller>> callers(4);
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    callers[i] = std::make_unique<persistent_caller>(deployment, "c" + std::to_string(i));
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(400));
   deployment.entry().Terminate();
   std::this_thread::sleep_for(kStreamDelay);
   std::vector<std::size_t> events(3, 0);
   std::vector<std::thread> streams;
+  streams.reserve(events.size());
   for (std::size_t& received : events) {
     streams.emplace_back([&deployment, &received] {
       const auto stream = deployment.Stream();
