directory: end the delay of removals when servers must be back

The VM had been cut off for 7 s and had reached the store again at 23.61 s. A removal that is read within 2.5 s of that may be an effect of the time before, since running servers register again soon; it was therefore delayed for 2.5 s, counted from when it was read. The removal of 24.7 s thus took effect at 27.4 s, 2.6 s late, at this VM only; the eight others applied it at 24.81 s.

The delay now ends 2.5 s after the store was reached again, whenever the removal is read: that is when running servers are back. Such a removal takes effect before the VM counts as being in touch again, 3 s after its cut.

Test 'a removal after the store was away is delayed only until servers are back': before, removed 3,567 and 3,712 ms after the store was back, and now 2,504 and 2,505.

--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -69,10 +69,11 @@
 duration directory_controller::RemovalDelay(time_point now) const {
   const auto& confirmed = entry_.state.directory_confirmed_at;
   const bool was_unconfirmed = confirmed && now - *confirmed > kOutageThreshold;
-  const bool recently_regained =
-      health_.regained_at() && now - *health_.regained_at() < kReregistrationTime;
-  return health_.is_lost() || was_unconfirmed || recently_regained ? duration(kReregistrationTime)
-                                                                   : duration::zero();
+  if (health_.is_lost() || was_unconfirmed) return kReregistrationTime;
+  if (!health_.regained_at()) return duration::zero();
+  // Running servers are back by then, however late their removal is read: a server that leaves
+  // meanwhile must not be kept for longer.
+  return std::max<duration>(*health_.regained_at() + kReregistrationTime - now, duration::zero());
 }
 
 awaitable<bool> directory_controller::ReadAll() {
--- a/tests/integration/entry_registration_test.cc
+++ b/tests/integration/entry_registration_test.cc
@@ -1,9 +1,14 @@
 // Entries that another writer left among the registrations of servers.
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
+#include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/integration/entry_deployment.h"
+#include "tests/integration/platform_processes.h"
 #include "tests/integration/wait_for.h"
 
 namespace waxwingwing::integration {
@@ -92,5 +97,57 @@
   CHECK(deployment.entry().Running());
 }
 
+/// Time of the VM's last log line of this event with this value of `member`; empty when there is
+/// none.
+std::optional<std::int64_t> TimeOfLast(const entry_deployment& deployment, const std::string& event,
+                                       const std::string& member, const std::string& value) {
+  std::optional<std::int64_t> time;
+  for (const auto& line : deployment.LogLines(event)) {
+    if (line[member] == value) time = line["t_ms"].get<std::int64_t>();
+  }
+  return time;
+}
+
+// Guards against sending requests to a server that left some seconds after this VM had reached the
+// store again, because its removal is taken for an effect of the time before.
+TEST_CASE("entry: a removal after the store was away is delayed only until servers are back",
+          "[entry]") {
+  entry_deployment deployment({.proxies = true});
+  deployment.WaitUntilServing();
+  nlohmann::json leaving = With("service", "desk");
+  leaving["domain"] = "";
+  std::uint64_t number = 0;
+  // The store removes entries that are not written again.
+  const auto keep_registered = [&](const auto& is_enough) {
+    return WaitFor(
+        [&] {
+          leaving["seq"] = ++number;
+          deployment.WriteRegistration("leaving", leaving.dump());
+          return is_enough();
+        },
+        milliseconds(9000));
+  };
+  REQUIRE(keep_registered(
+      [&] { return TimeOfLast(deployment, "server_changed", "server", "leaving").has_value(); }));
+  const auto regained = [&] {
+    return TimeOfLast(deployment, "dependency_regained", "dependency", "server_registrations");
+  };
+  const auto regained_before = regained();
+  SetFaults(deployment.ProxyOf("store"), {{"cut", true}});
+  const auto end_of_cut = std::chrono::steady_clock::now() + std::chrono::seconds(4);
+  keep_registered([&] { return std::chrono::steady_clock::now() > end_of_cut; });
+  SetFaults(deployment.ProxyOf("store"), {{"cut", false}});
+  REQUIRE(keep_registered([&] { return regained() != regained_before; }));
+  const auto leaves_at = std::chrono::steady_clock::now() + std::chrono::seconds(1);
+  keep_registered([&] { return std::chrono::steady_clock::now() > leaves_at; });
+  deployment.WriteRegistration("leaving", "");
+  const auto removed = [&] {
+    return TimeOfLast(deployment, "server_removed", "server", "leaving");
+  };
+  REQUIRE(WaitFor([&] { return removed().has_value(); }, milliseconds(6000)));
+  // Servers are back 2.5 s after the store; a read that finds nothing new takes 0.3 s.
+  CHECK(*removed() - *regained() < 3400);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
