forward: ask a second time whether a server has crashed

The trace: a request broke off at two servers within a millisecond of each other's check, and only one of them was logged as crashed. The check connects as soon as a connection ends; a process that ends closes that one before the socket on which it listens, so that the new connection may still be accepted and the crash was not counted.

A server that accepts is now asked once more 20 ms later.

--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -14,6 +14,9 @@
 
 /// Interval at which requests look for the end of a check that another request has started.
 constexpr milliseconds kPollInterval{5};
+/// Pause before the second connection to a server. A process that ends closes its connections and
+/// the socket on which it listens one after the other.
+constexpr milliseconds kSecondCheckDelay{20};
 
 std::string Join(const std::vector<prompt_part_id>& parts) {
   std::string text;
@@ -30,7 +33,11 @@
     while (pending_.contains(server.server)) co_await Pause(core_.context, kPollInterval);
     co_return;
   }
-  const bool crashed = co_await RefusesConnections(server.address);
+  bool crashed = co_await RefusesConnections(server.address);
+  if (!crashed) {
+    co_await Pause(core_.context, kSecondCheckDelay);
+    crashed = co_await RefusesConnections(server.address);
+  }
   if (crashed) ReportCrash(server);
   pending_.erase(server.server);
 }
