tests: show that tokens of a lost part of a rate are kept

A VM that loses its parts of the work and gets them back keeps the tokens that it had, since buckets keep their tokens when the parts are dealt anew and are cut only when the server is next considered; the holder in between may have used them. So a part of a cold server's rate, or of a stated limit, may be used twice at once.

--- a/tests/unit/shared_limits_test.cc
+++ b/tests/unit/shared_limits_test.cc
@@ -122,6 +122,20 @@
   }
 }
 
+// Guards against sending twice what a part of a rate allows at once: the VM that held the part in
+// between may just have used it.
+TEST_CASE("a VM that gets back its parts of the work does not keep their earlier tokens",
+          "[dispatch]") {
+  shared_rate_limits limits;
+  limits.SetPartitions(PartitionsOf(0, 1));
+  CHECK_FALSE(limits.MaySend(kServer, kColdRate, kStart));
+  const time_point later = kStart + std::chrono::seconds(1);
+  REQUIRE(limits.MaySend(kServer, kColdRate, later));
+  limits.SetPartitions({{}, kPartitionCount});
+  limits.SetPartitions(PartitionsOf(0, 1));
+  CHECK_FALSE(limits.MaySend(kServer, kColdRate, later));
+}
+
 // Guards against a VM that is busy for long, or fails, because of a faulty server's limit.
 TEST_CASE("a very high rate is divided among the partitions that there are", "[dispatch]") {
   for (const double rate : {1e6, 1e18, 1e300}) {
