dispatch: cut tokens of lost parts of a rate when the parts are dealt

Cause: a bucket kept its tokens when the store dealt the parts of the work anew; those of a lost part were cut only when the server was next considered, so that a VM which got the part back before could use them although the holder in between had used them as well. Change: SetPartitions cuts the tokens of each bucket to the parts that are held from then on.

--- a/include/waxwingwing/dispatch/shared_rate_limits.h
+++ b/include/waxwingwing/dispatch/shared_rate_limits.h
@@ -1,8 +1,9 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
-#include <optional>
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/directory/backend_server.h"
@@ -51,14 +52,20 @@
   /// Token bucket for one server.
   struct bucket {
     double tokens = 0;
-    /// Rate of all VMs together; empty when this VM's part of it is to be calculated again.
-    std::optional<double> joint_rate;
+    /// Rate of all VMs together.
+    double joint_rate = 0;
+    /// Whether this VM's part of the rate must be calculated again.
+    bool is_outdated = true;
     /// Tokens added a second, and the largest number that is kept.
     double rate = 0;
     double burst = 0;
     time_point refilled_at{};
   };
 
+  /// Number of partitions that are selected for a server with this rate.
+  std::uint64_t SelectedCount(double rate) const;
+  /// Number of the partitions selected for a server that this VM holds.
+  std::size_t CountHeld(const backend_server_id& server, double rate) const;
   bucket MakeBucket(const backend_server_id& server, double rate, time_point now) const;
 
   const shared_rate_options options_;
