peer: encode a message to several VMs once and write waiting frames together

Cause: the controller encoded its feed anew for each of up to 294 receivers, four times a second, and each frame was a system call of its own. Change: peer_network::Broadcast shares one encoded frame between the queues of the receivers; a session writes up to 16 waiting frames at once and checks its time limits half as often. Result: the [peer] tests pass.

--- a/include/waxwingwing/peer/peer_network.h
+++ b/include/waxwingwing/peer/peer_network.h
@@ -66,6 +66,8 @@
   /// Queues a message; false when no connection to the VM is established or the message is too
   /// large.
   bool Send(const vm_id& vm, const peer_message& message);
+  /// Queues a message to several VMs; it is encoded once. VMs without a connection are left out.
+  void Broadcast(const std::vector<vm_id>& vms, const peer_message& message);
   /// Whether a message to the VM would be queued.
   bool IsConnected(const vm_id& vm) const;
   /// Closes all connections and stops listening; no callback follows.
--- a/src/peer/peer_network.cc
+++ b/src/peer/peer_network.cc
@@ -60,6 +60,20 @@
     return false;
   }
 
+  void Broadcast(const std::vector<vm_id>& vms, const peer_message& message) {
+    auto encoded = EncodeFrame(message);
+    if (!encoded) return shared_->counters.CountUnsent("too_large");
+    const auto frame = std::make_shared<const std::string>(*std::move(encoded));
+    for (const vm_id& vm : vms) {
+      peer_session* session = SessionOf(vm);
+      if (session == nullptr) {
+        shared_->counters.CountUnsent("not_connected");
+      } else {
+        session->SendFrame(frame, send_queue::frame_kind::kOther);
+      }
+    }
+  }
+
   void Close() {
     closed_ = true;
     SetPeers({});
@@ -113,6 +127,10 @@
   return implementation_->Send(vm, message);
 }
 
+void peer_network::Broadcast(const std::vector<vm_id>& vms, const peer_message& message) {
+  implementation_->Broadcast(vms, message);
+}
+
 bool peer_network::IsConnected(const vm_id& vm) const {
   return implementation_->SessionOf(vm) != nullptr;
 }
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -16,7 +16,9 @@
 
 // Limits the memory that a peer can make the process reserve before its hello is accepted.
 constexpr std::size_t kMaxHelloBytes = 4096;
-constexpr int kChecksPerSilenceLimit = 8;
+constexpr int kChecksPerSilenceLimit = 4;
+// Frames that are written by one system call.
+constexpr std::size_t kMaxFramesPerWrite = 16;
 
 }  // namespace
 
@@ -48,18 +50,25 @@
     return false;
   }
   const bool status = std::holds_alternative<node_status_message>(message);
+  return SendFrame(std::make_shared<const std::string>(*std::move(frame)),
+                   status ? send_queue::frame_kind::kStatus : send_queue::frame_kind::kOther);
+}
+
+bool peer_session::SendFrame(send_queue::shared_frame frame, send_queue::frame_kind kind) {
+  if (!established()) return false;
   if (!unanswered_since_) unanswered_since_ = std::chrono::steady_clock::now();
-  Enqueue(*std::move(frame),
-          status ? send_queue::frame_kind::kStatus : send_queue::frame_kind::kOther);
+  Enqueue(std::move(frame), kind);
   return true;
 }
 
 void peer_session::SendHello() {
   auto frame = EncodeFrame(shared_->own_hello);
-  if (frame) Enqueue(*std::move(frame), send_queue::frame_kind::kOther);
+  if (!frame) return;
+  Enqueue(std::make_shared<const std::string>(*std::move(frame)),
+          send_queue::frame_kind::kOther);
 }
 
-void peer_session::Enqueue(std::string frame, send_queue::frame_kind kind) {
+void peer_session::Enqueue(send_queue::shared_frame frame, send_queue::frame_kind kind) {
   const auto dropped = queue_.Push(std::move(frame), kind);
   if (dropped) shared_->counters.CountDropped(*dropped == send_queue::frame_kind::kStatus);
   last_sent_ = std::chrono::steady_clock::now();
@@ -69,15 +78,19 @@
 
 void peer_session::WriteNext() {
   if (closed_ || !writing_.empty() || queue_.empty()) return;
-  writing_ = queue_.Pop();
+  std::vector<asio::const_buffer> buffers;
+  while (!queue_.empty() && writing_.size() < kMaxFramesPerWrite) {
+    writing_.push_back(queue_.Pop());
+    buffers.push_back(asio::buffer(*writing_.back()));
+  }
   const auto written = [self = shared_from_this()](const error_code& error, std::size_t bytes) {
     self->shared_->counters.bytes_sent.Increment(bytes);
     if (error) return self->Close(close_reason::kEnded);
-    self->shared_->counters.frames_sent.Increment();
+    self->shared_->counters.frames_sent.Increment(self->writing_.size());
     self->writing_.clear();
     self->WriteNext();
   };
-  asio::async_write(socket_, asio::buffer(writing_), written);
+  asio::async_write(socket_, buffers, written);
 }
 
 asio::awaitable<void> peer_session::ReadFrames(std::shared_ptr<peer_session> self) {
--- a/src/peer/peer_session.h
+++ b/src/peer/peer_session.h
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "peer/peer_counters.h"
 #include "peer/send_queue.h"
@@ -53,6 +54,8 @@
   void Start(bool is_outgoing);
   /// Queues a message; false when it cannot be encoded or the session is not established.
   bool Send(const peer_message& message);
+  /// Queues an encoded message; false when the session is not established.
+  bool SendFrame(send_queue::shared_frame frame, send_queue::frame_kind kind);
   void Close(close_reason reason);
 
   bool established() const { return peer_.has_value() && !closed_; }
@@ -64,7 +67,7 @@
   void Handle(std::string_view body);
   void HandleHello(const hello_message& hello);
   void CheckTimeouts(time_point now);
-  void Enqueue(std::string frame, send_queue::frame_kind kind);
+  void Enqueue(send_queue::shared_frame frame, send_queue::frame_kind kind);
   void SendHello();
   void WriteNext();
 
@@ -73,8 +76,8 @@
   std::shared_ptr<shared_state> shared_;
   std::shared_ptr<const events> callbacks_;
   send_queue queue_;
-  /// The frame that is being written; empty when none is.
-  std::string writing_;
+  /// The frames that are being written; empty when none is.
+  std::vector<send_queue::shared_frame> writing_;
   std::optional<hello_message> peer_;
   time_point started_at_;
   time_point last_sent_;
--- a/src/peer/send_queue.cc
+++ b/src/peer/send_queue.cc
@@ -6,7 +6,7 @@
 
 namespace waxwingwing {
 
-std::optional<send_queue::frame_kind> send_queue::Push(std::string frame, frame_kind kind) {
+std::optional<send_queue::frame_kind> send_queue::Push(shared_frame frame, frame_kind kind) {
   frames_.push_back({std::move(frame), kind});
   if (frames_.size() <= kCapacity) return std::nullopt;
   const auto is_status = [](const entry& item) { return item.kind == frame_kind::kStatus; };
@@ -17,9 +17,9 @@
   return dropped_kind;
 }
 
-std::string send_queue::Pop() {
+send_queue::shared_frame send_queue::Pop() {
   assert(!frames_.empty());
-  std::string frame = std::move(frames_.front().frame);
+  shared_frame frame = std::move(frames_.front().frame);
   frames_.pop_front();
   return frame;
 }
--- a/src/peer/send_queue.h
+++ b/src/peer/send_queue.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -17,16 +18,19 @@
 
   static constexpr std::size_t kCapacity = 64;
 
+  /// An encoded frame, which the queues of several peers may share.
+  using shared_frame = std::shared_ptr<const std::string>;
+
   /// Adds a frame. Returns the kind of the dropped frame, if a frame was dropped.
-  std::optional<frame_kind> Push(std::string frame, frame_kind kind);
+  std::optional<frame_kind> Push(shared_frame frame, frame_kind kind);
   /// Removes and returns the oldest frame; the queue must not be empty.
-  std::string Pop();
+  shared_frame Pop();
   bool empty() const { return frames_.empty(); }
   std::size_t size() const { return frames_.size(); }
 
  private:
   struct entry {
-    std::string frame;
+    shared_frame frame;
     frame_kind kind;
   };
 
--- a/tests/unit/peer_network_test.cc
+++ b/tests/unit/peer_network_test.cc
@@ -254,16 +254,16 @@
 TEST_CASE("a full send queue first drops the oldest status frame", "[peer]") {
   send_queue queue;
   using kind = send_queue::frame_kind;
-  queue.Push("first", kind::kOther);
-  queue.Push("old status", kind::kStatus);
+  queue.Push(std::make_shared<const std::string>("first"), kind::kOther);
+  queue.Push(std::make_shared<const std::string>("old status"), kind::kStatus);
   for (std::size_t i = 2; i < send_queue::kCapacity; ++i) {
-    REQUIRE_FALSE(queue.Push(std::to_string(i), kind::kOther));
+    REQUIRE_FALSE(queue.Push(std::make_shared<const std::string>(std::to_string(i)), kind::kOther));
   }
-  REQUIRE(queue.Push("new status", kind::kStatus) == kind::kStatus);
-  REQUIRE(queue.Push("a", kind::kOther) == kind::kStatus);
-  REQUIRE(queue.Push("b", kind::kOther) == kind::kOther);
+  REQUIRE(queue.Push(std::make_shared<const std::string>("new status"), kind::kStatus) == kind::kStatus);
+  REQUIRE(queue.Push(std::make_shared<const std::string>("a"), kind::kOther) == kind::kStatus);
+  REQUIRE(queue.Push(std::make_shared<const std::string>("b"), kind::kOther) == kind::kOther);
   REQUIRE(queue.size() == send_queue::kCapacity);
-  REQUIRE(queue.Pop() == "2");
+  REQUIRE(*queue.Pop() == "2");
 }
 
 }  // namespace
