forward: ask whether the caller is still there before a late request is sent

A request that waited for capacity also looked at all candidates every 20 ms. Change: just before the first byte, the deadline is checked, and for a request older than 50 ms the socket is asked whether the caller has left. Waiting requests look for capacity when a request of this VM ends, else every 40 ms.

--- a/include/waxwingwing/forward/forward_options.h
+++ b/include/waxwingwing/forward/forward_options.h
@@ -35,6 +35,9 @@
   /// Fraction of a route's latency objective for which a request waits for free capacity on a
   /// server; the response can still start within the objective after that.
   double queue_wait_fraction = 0.3;
+  /// Interval at which a waiting request looks for capacity; it also does so when a request of this
+  /// VM ends.
+  milliseconds capacity_check_interval{40};
   /// How long a stream that broke off waits for a server that can resume it; callers disconnect
   /// after 2 s without an event.
   milliseconds resume_wait{1200};
--- a/src/forward/caller_channel.cc
+++ b/src/forward/caller_channel.cc
@@ -60,14 +60,27 @@
   socket_.async_wait(tcp::socket::wait_read, [self](error_code error) {
     self->waiting_for_disconnect_ = false;
     if (error || !self->on_disconnect_) return;
-    std::array<char, 1> byte{};
-    error_code failed;
-    self->socket_.receive(asio::buffer(byte), tcp::socket::message_peek, failed);
+    const error_code failed = self->Peek();
     if (failed == asio::error::would_block) return self->StartWaitingForDisconnect();
     if (failed) self->SetGone();
   });
 }
 
+bool caller_channel::CheckConnected() {
+  // With bytes of a next request already buffered, the end of the connection cannot be detected.
+  if (gone_ || buffer_.size() > 0) return !gone_;
+  const error_code failed = Peek();
+  if (failed && failed != asio::error::would_block) SetGone();
+  return !gone_;
+}
+
+error_code caller_channel::Peek() {
+  std::array<char, 1> byte{};
+  error_code error;
+  socket_.receive(asio::buffer(byte), tcp::socket::message_peek, error);
+  return error;
+}
+
 void caller_channel::StopWatching() { on_disconnect_ = nullptr; }
 
 void caller_channel::SetGone() {
--- a/src/forward/caller_channel.h
+++ b/src/forward/caller_channel.h
@@ -30,6 +30,9 @@
   /// Calls `on_disconnect` once when the caller disconnects.
   void Watch(std::function<void()> on_disconnect);
   void StopWatching();
+  /// Asks the operating system whether the caller is still connected; when it is not, the channel
+  /// is gone from then on.
+  bool CheckConnected();
   bool gone() const { return gone_; }
 
   void Close();
@@ -40,6 +43,9 @@
   void StartWrite();
   void StartWaitingForDisconnect();
   void SetGone();
+  /// Looks for bytes to read without taking them; an error other than `would_block` means that the
+  /// caller has disconnected.
+  error_code Peek();
 
   asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer buffer_;
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -10,7 +10,6 @@
 #include "forward/http_text.h"
 #include "waxwingwing/core/hash.h"
 #include "waxwingwing/core/scope_guard.h"
-#include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
@@ -82,7 +81,8 @@
       request_(std::move(request)),
       arrived_at_(core.Now()),
       configuration_(core.configuration),
-      standby_ended_(core.context) {}
+      standby_ended_(core.context),
+      capacity_freed_(core.context) {}
 
 forward_call::~forward_call() { channel_.StopWatching(); }
 
@@ -177,7 +177,7 @@
   for (;;) {
     const dispatch_candidate* selected = SelectServer();
     while (selected == nullptr && MayWaitForCapacity()) {
-      co_await Pause(core_.context, core_.options.check_interval);
+      co_await WaitForCapacity();
       selected = SelectServer();
     }
     if (selected == nullptr) {
@@ -301,6 +301,12 @@
   return core_.selection.Select(candidates, tried_, core_.Now(), selection_failure_);
 }
 
+awaitable<void> forward_call::WaitForCapacity() {
+  core_.waiting.insert(&capacity_freed_);
+  const scope_guard done([this] { core_.waiting.erase(&capacity_freed_); });
+  co_await capacity_freed_.Wait(core_.options.capacity_check_interval);
+}
+
 bool forward_call::MayWaitForCapacity() const {
   if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return false;
   if (QuarantinedUntil()) return false;
@@ -346,6 +352,7 @@
   plan.at_most_once = !route_->MayRepeat();
   plan.last_event = last_event_;
   plan.deadline = deadline_;
+  plan.arrived_at = arrived_at_;
   plan.objective = route_->objective;
   plan.first_limit =
       plan.stream
@@ -394,7 +401,10 @@
   last_failure_ = exchange.failure();
   if (exchange.last_event()) last_event_ = exchange.last_event();
   if (end == exchange_outcome::kNotSent) {
-    core_.hooks.OnDirectoryMismatch();
+    const exchange_abort reason = exchange.abort_reason();
+    const bool unwanted =
+        reason == exchange_abort::kCallerLeft || reason == exchange_abort::kDeadline;
+    if (!unwanted) core_.hooks.OnDirectoryMismatch();
     core_.metrics.Counter("waxwingwing_retries_total", {{"reason", "not_sent"}}).Increment();
     if (MayResend(false)) return false;
     FailRequest(502, "unreachable");
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -43,6 +43,7 @@
   bool keeps_connection() const { return keeps_connection_; }
 
   void OnEvents(const server_exchange& exchange, std::string_view events) override;
+  bool IsCallerConnected() override { return channel_.CheckConnected(); }
   awaitable<bool> WaitForCaller() override;
   void OnNoProgress(const server_exchange& exchange, exchange_abort reason) override;
 
@@ -60,6 +61,8 @@
 
   awaitable<void> Forward();
   const dispatch_candidate* SelectServer();
+  /// Waits until capacity may have become free.
+  awaitable<void> WaitForCapacity();
   /// Whether the request may wait for a server that can take it.
   bool MayWaitForCapacity() const;
   /// When a server that wants no requests for a time can take this one at the earliest.
@@ -140,6 +143,7 @@
   /// Whether the current exchange has ended, so that the outcome of the standby is awaited.
   bool awaits_standby_ = false;
   wakeable_pause standby_ended_;
+  wakeable_pause capacity_freed_;
   dispatch_candidate server_;
   std::set<backend_server_id> tried_;
   selection_failure selection_failure_ = selection_failure::kNone;
--- a/src/forward/forward_core.h
+++ b/src/forward/forward_core.h
@@ -16,6 +16,7 @@
 #include "waxwingwing/forward/forwarder.h"
 #include "waxwingwing/logging/event_log.h"
 #include "waxwingwing/metrics/metrics_registry.h"
+#include "waxwingwing/platform/wakeable_pause.h"
 #include "waxwingwing/routing/service_retry_budgets.h"
 
 namespace waxwingwing {
@@ -30,6 +31,8 @@
   /// Suspends a server whose streams have stalled, or that rejects requests because of another
   /// server, and reports its group to the controllers. Does nothing while it is suspended already.
   void ReportStall(const dispatch_candidate& server, std::string_view evidence, duration silence);
+  /// Lets the waiting requests look for capacity, because some may have become free.
+  void WakeWaiting();
   /// Records what a server states about itself in a response, and logs what is new.
   void RecordNotice(const dispatch_candidate& server, const server_notice& notice);
 
@@ -48,6 +51,8 @@
 
   std::shared_ptr<const traffic_configuration> configuration;
   std::shared_ptr<const dispatch_map> map = std::make_shared<dispatch_map>();
+  /// Requests that wait for capacity.
+  std::set<wakeable_pause*> waiting;
   /// Exchanges under way; the periodic check looks for stalls and expired limits in them.
   std::set<server_exchange*> exchanges;
   /// Size of the response bodies that the exchanges hold.
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -57,6 +57,10 @@
   if (!server.group.empty()) hooks.OnStall(server.group, server.server);
 }
 
+void forward_core::WakeWaiting() {
+  for (wakeable_pause* request : waiting) request->Wake();
+}
+
 void forward_core::RecordNotice(const dispatch_candidate& server, const server_notice& notice) {
   const server_notices::changes news = selection.RecordNotice(server, notice, Now());
   if (news.leaving) {
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kReadSize = 8192;
 /// Maximum size of a response's status line and headers, in bytes.
 constexpr std::uint32_t kMaxResponseHeadBytes = 32 * 1024;
+/// Age of a request up to which its caller is taken to be connected without a system call.
+constexpr milliseconds kUncheckedTime{50};
 /// Maximum number of responses to other requests that are skipped before the expected one.
 constexpr int kMaxForeignResponses = 3;
 
@@ -80,6 +82,7 @@
   core_.exchanges.erase(this);
   if (end == exchange_outcome::kComplete) Finish();
   connection_.reset();
+  core_.WakeWaiting();
   co_return end;
 }
 
@@ -112,6 +115,12 @@
 }
 
 bool server_exchange::MaySend() {
+  const time_point now = core_.Now();
+  if (now >= plan_.deadline) Abort(exchange_abort::kDeadline);
+  if (now - plan_.arrived_at > kUncheckedTime && !receiver_.IsCallerConnected()) {
+    Abort(exchange_abort::kCallerLeft);
+  }
+  if (abort_reason_ != exchange_abort::kNone) return false;
   if (!core_.selection.IsWithdrawn(plan_.target, core_.Now())) return true;
   abort_reason_ = exchange_abort::kWithdrawn;
   failure_ = "the server wants no more requests";
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -41,6 +41,8 @@
   /// Time-out for the start of the response, after which the request may be retried elsewhere.
   duration first_limit{};
   time_point deadline{};
+  /// When the caller's request was read.
+  time_point arrived_at{};
 };
 
 enum class exchange_abort {
@@ -68,6 +70,9 @@
   virtual ~exchange_receiver() = default;
   /// Receives complete events of the exchange that directly follow its earlier ones.
   virtual void OnEvents(const server_exchange& exchange, std::string_view events) = 0;
+  /// Whether the caller still waits for the answer; asks the operating system, because the event of
+  /// its disconnection may not have been handled yet.
+  virtual bool IsCallerConnected() = 0;
   /// Waits while the caller reads too slowly; returns false when it has disconnected.
   virtual awaitable<bool> WaitForCaller() = 0;
   /// Called at each check while the exchange makes no progress, so that the request may be sent to
@@ -124,7 +129,8 @@
   /// no longer wanted to send it.
   bool IsServerAtFault() const;
   awaitable<exchange_outcome> Send();
-  /// Whether the server may still get the request; a connection may have taken a while.
+  /// Whether the server may still get the request, and the caller wants it; a connection may have
+  /// taken a while.
   bool MaySend();
   awaitable<bool> ReadHead();
   /// Whether the response is a refusal that may belong to an earlier request on the connection, and
