tests: take ports for entry VMs below those of outgoing connections

Cause: a port that was free when a test chose it was taken by another test's outgoing connection before the entry VM listened ("Address already in use", once in 35 tests run four at a time). Change: ports are chosen at random from 16000 to 31999, below the system's ephemeral range.

--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -12,6 +12,7 @@
 #include <stdexcept>
 
 #include "tests/integration/wait_for.h"
+#include "waxwingwing/core/random_source.h"
 
 namespace waxwingwing::integration {
 namespace {
@@ -19,19 +20,26 @@
 constexpr milliseconds kServingLimit{15000};
 constexpr const char* kKey = "key-of-first-organisation";
 
-/// A port of loopback that is free at this moment.
+/// A port of loopback that is free at this moment. It lies below the ports that the system gives to
+/// outgoing connections, one of which could otherwise take it before the entry VM listens.
 std::string FreeAddress() {
-  const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t size = sizeof address;
-  auto* generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
-  const bool bound =
-      ::bind(handle, generic, size) == 0 && ::getsockname(handle, generic, &size) == 0;
-  ::close(handle);
-  if (!bound) throw std::runtime_error("no free port");
-  return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  constexpr std::uint16_t kFirstPort = 16000;
+  constexpr std::uint64_t kPorts = 16000;
+  constexpr int kAttempts = 100;
+  static random_source random = random_source::FromDevice();
+  for (int attempt = 0; attempt < kAttempts; ++attempt) {
+    const auto port = static_cast<std::uint16_t>(kFirstPort + random.Below(kPorts));
+    const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
+    const bool bound = ::bind(handle, generic, sizeof address) == 0;
+    ::close(handle);
+    if (bound) return "127.0.0.1:" + std::to_string(port);
+  }
+  throw std::runtime_error("no free port");
 }
 
 std::string NextRequestId() {
