forward: ask before each send whether the caller is still there

The check before the first byte was left out for requests that had been read less than 50 ms before. Change: the socket is asked before each send, one system call.

--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -352,7 +352,6 @@
   plan.at_most_once = !route_->MayRepeat();
   plan.last_event = last_event_;
   plan.deadline = deadline_;
-  plan.arrived_at = arrived_at_;
   plan.objective = route_->objective;
   plan.first_limit =
       plan.stream
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -17,8 +17,6 @@
 constexpr std::size_t kReadSize = 8192;
 /// Maximum size of a response's status line and headers, in bytes.
 constexpr std::uint32_t kMaxResponseHeadBytes = 32 * 1024;
-/// Age of a request up to which its caller is taken to be connected without a system call.
-constexpr milliseconds kUncheckedTime{50};
 /// Maximum number of responses to other requests that are skipped before the expected one.
 constexpr int kMaxForeignResponses = 3;
 
@@ -115,11 +113,9 @@
 }
 
 bool server_exchange::MaySend() {
-  const time_point now = core_.Now();
-  if (now >= plan_.deadline) Abort(exchange_abort::kDeadline);
-  if (now - plan_.arrived_at > kUncheckedTime && !receiver_.IsCallerConnected()) {
-    Abort(exchange_abort::kCallerLeft);
-  }
+  if (core_.Now() >= plan_.deadline) Abort(exchange_abort::kDeadline);
+  // A busy VM may read a request only after its caller has left.
+  if (!receiver_.IsCallerConnected()) Abort(exchange_abort::kCallerLeft);
   if (abort_reason_ != exchange_abort::kNone) return false;
   if (!core_.selection.IsWithdrawn(plan_.target, core_.Now())) return true;
   abort_reason_ = exchange_abort::kWithdrawn;
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -41,8 +41,6 @@
   /// Time-out for the start of the response, after which the request may be retried elsewhere.
   duration first_limit{};
   time_point deadline{};
-  /// When the caller's request was read.
-  time_point arrived_at{};
 };
 
 enum class exchange_abort {
