--- a/include/waxwingwing/dispatch/dispatch_map.h
+++ b/include/waxwingwing/dispatch/dispatch_map.h
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "waxwingwing/core/ids.h"
 #include "waxwingwing/directory/server_directory.h"
 #include "waxwingwing/directory/traffic_configuration.h"
 
@@ -29,14 +30,23 @@
   time_point cold_until{};
   /// Requests a second that all entry VMs together may send to the server while it is cold.
   double cold_rate = 0;
+  /// Identifies the servers of the service or the groups of the model, of which a VM may use a
+  /// subset; 0 when it uses all.
+  std::uint64_t pool = 0;
 };
 
+/// Sorts the candidates so that the first ones are the subset of the VM, of any size. The order
+/// differs between VMs, and a candidate that comes or goes does not change the order of the others.
+void SortForSubset(std::vector<dispatch_candidate>& candidates, const vm_id& vm);
+
 /// Index of the candidates by service and model. Immutable; built from scratch when the directory
 /// or the configuration changes.
 class dispatch_map {
  public:
   dispatch_map() = default;
-  dispatch_map(const server_directory& directory, const traffic_configuration& configuration);
+  /// `vm`: this VM.
+  dispatch_map(const server_directory& directory, const traffic_configuration& configuration,
+               const vm_id& vm = {});
 
   /// Returns the servers of a plain service, or the open groups of `model` for a service with
   /// models.
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -15,6 +15,7 @@
 #include "waxwingwing/dispatch/server_notices.h"
 #include "waxwingwing/dispatch/server_requests.h"
 #include "waxwingwing/dispatch/shared_rate_limits.h"
+#include "waxwingwing/dispatch/subset_sizes.h"
 
 namespace waxwingwing {
 
@@ -63,7 +64,8 @@
   void SetPartitions(const work_partitions& partitions);
 
   /// Returns a usable candidate that is not in `excluded`, and consumes its cold rate; returns null
-  /// and sets `failure` to the reason when there is none.
+  /// and sets `failure` to the reason when there is none. Candidates beyond this VM's subset, which
+  /// comes first, are used only when none of the subset is usable.
   const dispatch_candidate* Select(const std::vector<dispatch_candidate>& candidates,
                                    const std::set<backend_server_id>& excluded, time_point now,
                                    selection_failure& failure);
@@ -99,8 +101,8 @@
   /// Returns the number of this VM's requests at each server that has any.
   server_requests OwnRequests() const;
   /// Sets the number of requests of all other VMs at each server; servers that are not in
-  /// `requests` have none.
-  void SetOtherRequests(const server_requests& requests, time_point now);
+  /// `requests` have none. `vms`: number of all VMs, including this one.
+  void SetOtherRequests(const server_requests& requests, std::size_t vms, time_point now);
 
   server_load& LoadOf(const backend_server_id& server) { return loads_[server]; }
   /// Removes the state of servers that have no request and for which `is_known` returns false.
@@ -142,6 +144,7 @@
   /// Returns the candidate with the lowest score; compares only a random sample of groups. Reorders
   /// `usable`, which must not be empty.
   const dispatch_candidate* LeastLoaded(std::vector<usable_server>& usable, time_point now);
+  std::size_t SubsetSize(const std::vector<dispatch_candidate>& candidates, time_point now) const;
   bool IsFull(const dispatch_candidate& candidate, const server_load& load) const;
   double ScoreOf(const dispatch_candidate& candidate, const server_load& load, time_point now);
 
@@ -151,9 +154,12 @@
   const selection_options options_;
   const failure_domain_id own_domain_;
   random_source random_;
-  /// This VM's share of the work of all VMs, as last confirmed; 0 before the first confirmation.
+  /// This VM's share of the work of all VMs; 0 while neither their number nor this VM's partitions
+  /// are known.
   double share_ = 0;
+  bool vms_are_known_ = false;
   std::map<backend_server_id, server_load> loads_;
+  subset_sizes subsets_;
   server_notices notices_;
   shared_rate_limits cold_;
   /// Divides the rates that servers state themselves.
--- a/include/waxwingwing/entry/entry_settings.h
+++ b/include/waxwingwing/entry/entry_settings.h
@@ -44,6 +44,9 @@
   milliseconds retry_window{10000};
   /// Number of partitions of each topic in the store.
   std::size_t partitions = 1;
+  /// Processor time available to the process, in cores, and bandwidth of the VM's link in Mbit/s.
+  double processor = 1;
+  double link_mbps = 1000;
   /// Shortest lifetime of a silent member that the store accepts.
   milliseconds min_member_lifetime{1000};
 };
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -209,14 +209,44 @@
   MSGPACK_DEFINE(server, born, rate, age)
 };
 
-/// A VM's own requests at each backend server, and the limits that it knows of; sent to the
-/// controller at short intervals.
+/// A VM that passes messages on between the controller and other VMs, or could do so.
+struct relay_node_message {
+  std::string vm;
+  /// `ip:port`.
+  std::string address;
+  std::string failure_domain;
+  double capacity = 0;
+
+  bool operator==(const relay_node_message&) const = default;
+  MSGPACK_DEFINE(vm, address, failure_domain, capacity)
+};
+
+/// The requests at each backend server of a VM and of those that follow it, and the limits that it
+/// knows of; sent to the VM that it follows at short intervals.
 struct vm_load_message {
   std::vector<server_requests_message> servers;
   std::vector<rate_limit_message> limits;
+  relay_node_message node;
+  /// Number of VMs whose requests the message contains.
+  std::uint64_t vms = 1;
+  /// Increases with each message.
+  std::uint64_t sequence = 0;
+  /// The best suited VM among those that follow the sender.
+  std::optional<relay_node_message> successor;
 
   bool operator==(const vm_load_message&) const = default;
-  MSGPACK_DEFINE(servers, limits)
+  MSGPACK_DEFINE(servers, limits, node, vms, sequence, successor)
+};
+
+/// The last `vm_load_message` of a VM that the sender of a feed has received. It shows the VM that
+/// the feed was not sent before that message.
+struct load_receipt_message {
+  /// Hash of the VM's id.
+  std::uint64_t vm = 0;
+  std::uint64_t sequence = 0;
+
+  bool operator==(const load_receipt_message&) const = default;
+  MSGPACK_DEFINE(vm, sequence)
 };
 
 /// A registration as the store keeps it; no value means that the key was removed.
@@ -242,8 +272,8 @@
 /// Reverses `PackChanges`. Fails when the bytes are not in its format.
 result<std::vector<registration_message>> UnpackChanges(const packed_changes& packed);
 
-/// From the controller to all VMs: changed registrations of backend servers, and the number of
-/// requests that all VMs together have running at each server.
+/// From the controller to all VMs, passed on by relays: changed registrations of backend servers,
+/// and the number of requests that all VMs together have running at each server.
 struct directory_feed_message {
   /// Offsets of the store's records that the message covers: from the first to the one after the
   /// last. Records that change nothing are left out.
@@ -256,9 +286,23 @@
   std::vector<server_requests_message> servers;
   /// The limits that any VM knows of.
   std::vector<rate_limit_message> limits;
+  /// The controller's lease: the name of its holder, and the offset after its newest record.
+  std::string lease_holder;
+  std::uint64_t lease_end = 0;
+  /// Number of VMs whose requests `servers` contains.
+  std::uint64_t vms = 0;
+  std::vector<relay_node_message> relays;
+  /// Offset after the newest of the operators' records, when that was confirmed, and the longest
+  /// time that may have passed since then; empty when not known.
+  std::uint64_t operators_next = 0;
+  std::optional<milliseconds> operators_age;
+  std::optional<milliseconds> operators_age_bound;
+  /// One for each VM that follows the sender.
+  std::vector<load_receipt_message> receipts;
 
   bool operator==(const directory_feed_message&) const = default;
-  MSGPACK_DEFINE(from, next, changes, age, servers, limits)
+  MSGPACK_DEFINE(from, next, changes, age, servers, limits, lease_holder, lease_end, vms, relays,
+                 operators_next, operators_age, operators_age_bound, receipts)
 };
 
 /// Reports to the controller that the streams of a group have stalled, as observed by one VM.
--- a/src/dispatch/dispatch_map.cc
+++ b/src/dispatch/dispatch_map.cc
@@ -1,5 +1,9 @@
 #include "waxwingwing/dispatch/dispatch_map.h"
 
+#include <algorithm>
+#include <utility>
+
+#include "waxwingwing/core/hash.h"
 #include "waxwingwing/formation/group_name.h"
 
 namespace waxwingwing {
@@ -22,8 +26,21 @@
 
 }  // namespace
 
+void SortForSubset(std::vector<dispatch_candidate>& candidates, const vm_id& vm) {
+  std::vector<std::pair<std::uint64_t, dispatch_candidate>> weighted;
+  weighted.reserve(candidates.size());
+  for (dispatch_candidate& candidate : candidates) {
+    const std::uint64_t weight = RendezvousWeight(candidate.server.str(), vm.str());
+    weighted.emplace_back(weight, std::move(candidate));
+  }
+  std::sort(weighted.begin(), weighted.end(),
+            [](const auto& left, const auto& right) { return left.first > right.first; });
+  std::transform(weighted.begin(), weighted.end(), candidates.begin(),
+                 [](auto& item) { return std::move(item.second); });
+}
+
 dispatch_map::dispatch_map(const server_directory& directory,
-                           const traffic_configuration& configuration) {
+                           const traffic_configuration& configuration, const vm_id& vm) {
   for (const service_settings& service : configuration.services()) {
     if (!service.models.empty()) with_models_.insert(service.id);
   }
@@ -32,6 +49,9 @@
     if (MayTakeRequests(known, directory)) AddPlainServer(known, configuration);
   }
   for (const auto& [id, group] : directory.Groups()) AddGroup(group, directory, configuration);
+  for (auto& [key, candidates] : candidates_) {
+    if (with_models_.contains(key.first)) SortForSubset(candidates, vm);
+  }
 }
 
 void dispatch_map::AddPlainServer(const server_directory::entry& known,
@@ -57,6 +77,7 @@
   candidate.group = group.id;
   candidate.slots = service->group_slots;
   candidate.cold_rate = service->cold_rate;
+  candidate.pool = StableHash(service->id.str() + "/" + name->model);
   candidates_[{service->id, name->model}].push_back(std::move(candidate));
 }
 
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -53,7 +53,7 @@
 void server_selection::SetPartitions(const work_partitions& partitions) {
   cold_.SetPartitions(partitions);
   stated_.SetPartitions(partitions);
-  if (!partitions.held.empty()) share_ = partitions.Share();
+  if (!partitions.held.empty() && !vms_are_known_) share_ = partitions.Share();
 }
 
 double server_selection::FirstWindow(const dispatch_candidate& candidate) const {
@@ -67,7 +67,10 @@
     time_point now, selection_failure& failure) {
   failure = selection_failure::kNoServer;
   std::vector<usable_server> usable;
-  for (const dispatch_candidate& candidate : candidates) {
+  const std::size_t subset = SubsetSize(candidates, now);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (i >= subset && !usable.empty()) break;
+    const dispatch_candidate& candidate = candidates[i];
     server_load& load = loads_[candidate.server];
     if (!candidate.group.empty()) load.SetFirstWindow(FirstWindow(candidate));
     if (excluded.contains(candidate.server)) {
@@ -84,11 +87,18 @@
   if (usable.empty()) return nullptr;
   failure = selection_failure::kNone;
   const dispatch_candidate* best = LeastLoaded(usable, now);
+  if (best->pool != 0) subsets_.RecordRequest(best->pool, now);
   if (best->cold_rate > 0 && now < best->cold_until) cold_.ConsumeToken(best->server);
   if (notices_.RateLimit(best->server, best->born, now)) stated_.ConsumeToken(best->server);
   return best;
 }
 
+std::size_t server_selection::SubsetSize(const std::vector<dispatch_candidate>& candidates,
+                                         time_point now) const {
+  if (candidates.empty() || candidates.front().pool == 0) return candidates.size();
+  return subsets_.SizeOf(candidates.front().pool, candidates.size(), now);
+}
+
 const dispatch_candidate* server_selection::LeastLoaded(std::vector<usable_server>& usable,
                                                         time_point now) {
   // All VMs see nearly the same loads, which are some hundred ms old, so the least loaded group
@@ -237,7 +247,12 @@
   return requests;
 }
 
-void server_selection::SetOtherRequests(const server_requests& requests, time_point now) {
+void server_selection::SetOtherRequests(const server_requests& requests, std::size_t vms,
+                                        time_point now) {
+  if (vms > 0) {
+    vms_are_known_ = true;
+    share_ = 1 / static_cast<double>(vms);
+  }
   for (auto& [server, load] : loads_) {
     const auto reported = requests.find(server);
     load.SetOtherVmRequests(reported == requests.end() ? 0 : reported->second, now);
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -18,26 +18,50 @@
 /// Limit of the exponential backoff while the store is unreachable. Its recovery must be noticed
 /// within one second.
 constexpr milliseconds kLongestRetryPause{600};
+/// Fractions of the time after which a configuration must be in force: the longest wait of a read
+/// by the controller, and the age of a confirmation at which another VM reads for itself. Two feeds
+/// of the controller may be lost in between, and two reads fit into the rest.
+constexpr double kControllerWaitFraction = 0.125;
+constexpr double kReadAgeFraction = 0.5;
+/// Interval at which a VM checks the age of the last confirmation.
+constexpr milliseconds kCheckInterval{250};
+
+milliseconds Fraction(milliseconds time, double fraction) {
+  return std::chrono::duration_cast<milliseconds>(time * fraction);
+}
 
 }  // namespace
 
 configuration_controller::configuration_controller(entry_context& entry, store_client& store,
+                                                   std::function<bool()> is_controller,
                                                    std::function<void()> on_change)
     : entry_(entry),
       store_(store),
+      is_controller_(std::move(is_controller)),
       on_change_(std::move(on_change)),
       read_wait_(LongestConfigurationWait(entry.settings.configuration_limit,
                                           entry.settings.revoke_limit)),
+      controller_wait_(Fraction(entry.settings.configuration_limit, kControllerWaitFraction)),
+      read_age_(Fraction(std::min(entry.settings.configuration_limit, entry.settings.revoke_limit),
+                         kReadAgeFraction)),
+      pause_(entry.context),
       health_(entry, "operators_records") {}
 
 awaitable<void> configuration_controller::Run() {
   milliseconds retry_pause = kRetryPause;
   while (!entry_.state.stopping || entry_.state.configuration) {
     bool read = false;
-    if (offset_) {
-      read = co_await ReadUpdates();
-    } else {
+    if (!offset_) {
       read = co_await ReadAll();
+    } else if (is_controller_()) {
+      read = co_await ReadUpdates(controller_wait_);
+    } else if (is_behind_) {
+      read = co_await ReadUpdates(milliseconds(0));
+    } else if (IsReadDue()) {
+      read = co_await ReadUpdates(read_wait_);
+    } else {
+      co_await pause_.Wait(kCheckInterval);
+      continue;
     }
     if (!read) co_await Pause(entry_.context, retry_pause);
     retry_pause = read ? kRetryPause : std::min(retry_pause * 2, kLongestRetryPause);
@@ -54,15 +78,45 @@
   health_.Succeeded();
   Apply(*page, true);
   offset_ = page->next;
-  // Without a configuration there is nothing whose age could be confirmed: read from scratch.
-  if (!entry_.state.configuration) offset_.reset();
-  if (offset_) entry_.state.configuration_confirmed_at = sent_at;
-  co_return offset_.has_value();
+  // Without a configuration there is nothing whose age could be confirmed.
+  if (entry_.state.configuration) Confirm(sent_at, sent_at);
+  co_return true;
+}
+
+operators_view configuration_controller::View() const {
+  if (!offset_) return {};
+  return {*offset_, entry_.state.configuration_confirmed_at, entry_.state.keys_confirmed_at};
+}
+
+void configuration_controller::OnControllerView(const operators_view& view) {
+  if (!offset_ || !view.confirmed_at || view.next < *offset_) return;
+  if (view.next > *offset_) {
+    is_behind_ = true;
+    return pause_.Wake();
+  }
+  if (entry_.state.configuration)
+    Confirm(*view.confirmed_at, view.confirmed_since.value_or(time_point()));
+}
+
+void configuration_controller::Confirm(time_point at, time_point at_least) {
+  auto& confirmed = entry_.state.configuration_confirmed_at;
+  confirmed = std::max(confirmed.value_or(at), at);
+  auto& keys = entry_.state.keys_confirmed_at;
+  keys = std::max(keys.value_or(at_least), at_least);
+}
+
+bool configuration_controller::IsReadDue() const {
+  const auto& confirmed = entry_.state.configuration_confirmed_at;
+  const auto& keys = entry_.state.keys_confirmed_at;
+  const time_point now = entry_.clock.Now();
+  if (!confirmed || now - *confirmed > read_age_) return true;
+  return !keys || now - *keys > entry_.settings.revoke_limit * kReadAgeFraction;
 }
 
-awaitable<bool> configuration_controller::ReadUpdates() {
+awaitable<bool> configuration_controller::ReadUpdates(milliseconds wait) {
   const time_point sent_at = entry_.clock.Now();
-  const auto page = co_await store_.ReadFrom(store_stream::kOperators, *offset_, read_wait_);
+  is_behind_ = false;
+  const auto page = co_await store_.ReadFrom(store_stream::kOperators, *offset_, wait);
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
@@ -77,8 +131,9 @@
   offset_ = page->next;
   // The store returns an empty page only after the full wait, so there was no new record until
   // then.
-  const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= read_wait_;
-  entry_.state.configuration_confirmed_at = waited ? sent_at + read_wait_ : sent_at;
+  const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= wait;
+  const time_point confirmed_at = waited ? sent_at + wait : sent_at;
+  if (entry_.state.configuration) Confirm(confirmed_at, confirmed_at);
   if (!page->records.empty()) co_await Pause(entry_.context, kBatchPause);
   co_return true;
 }
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -3,90 +3,107 @@
 #include <algorithm>
 #include <utility>
 
-#include "waxwingwing/platform/pause.h"
-
 namespace waxwingwing {
 namespace {
 
-/// A member that is silent for this time loses its partitions; two renewals in a row may be lost.
-constexpr milliseconds kMemberLifetime{1200};
-constexpr milliseconds kRenewInterval{350};
-constexpr milliseconds kRetryPause{120};
-/// After an outage, the store reassigns partitions for each member that rejoins. All members should
-/// rejoin at about the same time, because otherwise the controller changes several times.
-constexpr milliseconds kLongestRetryPause{240};
-/// Time for which an answer is trusted, counted from when the request was sent.
-constexpr milliseconds kTrustTime{900};
-/// Time a new holder waits before it acts: the trust time of the previous holder plus the transit
-/// time of its last order.
-constexpr milliseconds kTakeoverWait{1100};
+/// How long a VM with one core and a link of 100 Mbit/s lets others claim the lease first. Slower
+/// ones wait longer in proportion.
+constexpr std::chrono::duration<double, std::milli> kClaimDelay{100};
+constexpr double kReferenceLinkMbps = 100;
+constexpr milliseconds kMinClaimDelay{50};
+constexpr milliseconds kMaxClaimDelay{1000};
+/// Random part of the delay, as a fraction of it; spreads the claims of equal VMs.
+constexpr double kClaimSpread = 0.25;
+
+duration ClaimDelay(const entry_settings& settings, random_source& random) {
+  const double processor = std::max(settings.processor, 0.01);
+  const double link = std::max(settings.link_mbps, 1.0) / kReferenceLinkMbps;
+  const auto usual = std::clamp<duration>(
+      std::chrono::duration_cast<duration>(kClaimDelay / std::min(processor, link)), kMinClaimDelay,
+      kMaxClaimDelay);
+  return std::chrono::duration_cast<duration>(usual * (1 + kClaimSpread * random.Fraction()));
+}
 
 }  // namespace
 
 controller_election::controller_election(entry_context& entry, store_client& store,
-                                         std::string member, std::function<void()> on_answer)
+                                         std::string self, random_source random)
     : entry_(entry),
       store_(store),
-      member_(std::move(member)),
-      on_answer_(std::move(on_answer)),
-      health_(entry, "membership") {}
+      lease_(std::move(self), ClaimDelay(entry.settings, random), entry.clock.Now()),
+      pause_(entry.context),
+      health_(entry, "controller_lease") {}
 
 awaitable<void> controller_election::Run() {
-  milliseconds retry_pause = kRetryPause;
   while (!entry_.state.stopping) {
-    const time_point sent_at = entry_.clock.Now();
-    const auto view = co_await store_.KeepMembership(
-        member_, generation_, std::max(kMemberLifetime, entry_.settings.min_member_lifetime));
-    if (entry_.state.stopping) co_return;
-    if (view) {
-      health_.Succeeded();
-      Apply(*view, sent_at);
+    const time_point now = entry_.clock.Now();
+    const lease_step step = lease_.Next(now);
+    if (step == lease_step::kRead) {
+      co_await Read();
+    } else if (step == lease_step::kAppend) {
+      co_await Append();
     } else {
-      health_.Failed(view.reason());
+      co_await pause_.Wait(lease_.NextAt(now) - now);
     }
-    on_answer_();
-    co_await Pause(entry_.context, view ? kRenewInterval : retry_pause);
-    retry_pause = view ? kRetryPause : std::min(retry_pause * 2, kLongestRetryPause);
   }
 }
 
-void controller_election::Apply(const member_view& view, time_point sent_at) {
-  generation_ = view.generation;
-  partition_assignment_ = view.partition_assignment;
-  assignment_confirmed_at_ = sent_at;
-  if (!view.HoldsControllerRole()) {
-    if (held_since_) entry_.log.Write("controller_lost", {{"generation", generation_}});
-    held_since_.reset();
-    trusted_until_.reset();
-    return;
+awaitable<void> controller_election::Read() {
+  const bool was_holder = lease_.IsHolder();
+  const auto record = co_await store_.ReadLease();
+  const time_point now = entry_.clock.Now();
+  if (!record) {
+    health_.Failed(record.reason());
+    lease_.RecordFailure(now);
+    co_return;
   }
-  const bool expired = !trusted_until_ || sent_at > *trusted_until_;
-  if (!held_since_ || expired) {
-    held_since_ = entry_.clock.Now();
-    entry_.log.Write("controller_gained",
-                     {{"generation", generation_}, {"acts_after_ms", duration(kTakeoverWait)}});
+  health_.Succeeded();
+  lease_.Observe(*record, now);
+  LogChange(was_holder);
+}
+
+awaitable<void> controller_election::Append() {
+  const bool was_holder = lease_.IsHolder();
+  const time_point sent_at = entry_.clock.Now();
+  const auto outcome = co_await store_.AppendLease(lease_.self(), lease_.record().end);
+  const time_point now = entry_.clock.Now();
+  if (!outcome) {
+    health_.Failed(outcome.reason());
+    lease_.RecordFailure(now);
+    co_return;
   }
-  trusted_until_ = sent_at + kTrustTime;
+  health_.Succeeded();
+  if (outcome->appended) {
+    lease_.RecordAppended(outcome->end, sent_at, now);
+  } else {
+    lease_.RecordConflict();
+  }
+  LogChange(was_holder);
 }
 
-work_partitions controller_election::ConfirmedAssignment() const {
-  const bool expired =
-      !assignment_confirmed_at_ || entry_.clock.Now() - *assignment_confirmed_at_ > kMemberLifetime;
-  return {expired ? std::set<std::size_t>() : partition_assignment_.held,
-          partition_assignment_.all};
+void controller_election::Observe(const lease_record& record) {
+  const bool was_holder = lease_.IsHolder();
+  lease_.Observe(record, entry_.clock.Now());
+  LogChange(was_holder);
 }
 
-bool controller_election::IsController() const {
-  const time_point now = entry_.clock.Now();
-  if (!held_since_ || !trusted_until_ || now > *trusted_until_) return false;
-  return now - *held_since_ >= kTakeoverWait;
+void controller_election::LogChange(bool was_holder) {
+  if (was_holder == lease_.IsHolder()) return;
+  entry_.log.Write(was_holder ? "controller_lost" : "controller_gained",
+                   {{"term", lease_.term()},
+                    {"holder", lease_.record().holder},
+                    {"offset", lease_.record().end}});
 }
 
 awaitable<void> controller_election::Leave() {
-  held_since_.reset();
-  trusted_until_.reset();
-  const auto left = co_await store_.EndMembership(member_);
-  entry_.log.Write("membership_ended", {{"done", left && *left}});
+  const bool was_holder = HoldsControllerRole();
+  left_ = true;
+  pause_.Wake();
+  if (!was_holder) co_return;
+  const auto released = co_await store_.AppendLease(std::string(), lease_.record().end);
+  const bool done = released && released->appended;
+  if (done) lease_.Observe({std::string(), released->end}, entry_.clock.Now());
+  entry_.log.Write("controller_left", {{"released", done}});
 }
 
 }  // namespace waxwingwing
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -1,27 +1,27 @@
 #include "entry/controller_link.h"
 
 #include <algorithm>
-#include <utility>
 #include <variant>
 
+#include "entry/link_messages.h"
+#include "waxwingwing/core/hash.h"
 #include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
 namespace {
 
-/// Interval at which a VM reports its running requests to the controller; a stream runs for a
-/// second or more.
-constexpr milliseconds kReportInterval{250};
-/// Longest interval between two directory messages of the controller when nothing changes.
-constexpr milliseconds kFeedInterval{250};
-/// Silence of the controller, two missed messages, after which a VM reads the registrations itself.
-constexpr milliseconds kFeedTimeout{600};
-/// Silence of the controller after which a VM looks it up in the store.
-constexpr milliseconds kControllerTimeout{1000};
-/// Minimum interval between two lookups of the controller.
-constexpr milliseconds kLookupInterval{1200};
-/// Age at which a VM's last report of its requests expires.
-constexpr milliseconds kReportLifetime{1200};
+/// Interval at which a VM reports its running requests; a stream runs for a second or more.
+constexpr milliseconds kReportInterval{200};
+/// Longest interval between two feeds of the controller when nothing changes.
+constexpr milliseconds kFeedInterval{200};
+/// Silence of the parent, four missed feeds, after which a VM reads the registrations itself.
+constexpr milliseconds kFeedTimeout{800};
+/// Age of the registrations in a feed from which a VM reads them itself.
+constexpr milliseconds kMaxFeedAge{1200};
+/// Silence after which a VM follows another parent, or connects to it anew.
+constexpr milliseconds kParentTimeout{700};
+/// Number of reports whose receipts are awaited.
+constexpr std::size_t kMaxSentReports = 32;
 constexpr const char* kCluster = "waxwingwing-entry";
 
 peer_settings PeerSettings(const entry_settings& settings) {
@@ -35,250 +35,316 @@
   return peers;
 }
 
-/// Parses the VM id and address in a member name; returns none when it has another form.
-std::optional<peer_address> ParseMemberName(const std::string& member) {
-  const std::size_t first = member.find('/');
-  const std::size_t last = member.rfind('/');
-  if (first == std::string::npos || first == last) return std::nullopt;
-  return peer_address{vm_id(member.substr(0, first)), member.substr(last + 1)};
-}
-
 std::string LinkAddress(const entry_settings& settings) {
   return settings.own_ip + ":" + std::to_string(settings.first_port);
 }
 
-std::vector<server_requests_message> ToMessage(const server_requests& requests) {
-  std::vector<server_requests_message> message;
-  message.reserve(requests.size());
-  for (const auto& [server, running] : requests) message.push_back({server.str(), running});
-  return message;
+/// The resource that a relay would exhaust first: a core, or 100 Mbit/s of its link.
+double Capacity(const entry_settings& settings) {
+  return std::min(settings.processor, settings.link_mbps / 100);
 }
 
-server_requests FromMessage(const std::vector<server_requests_message>& message) {
-  server_requests requests;
-  for (const auto& entry : message) requests[backend_server_id(entry.server)] = entry.running;
-  return requests;
-}
+std::uint64_t HashOf(const vm_id& vm) { return StableHash(vm.str()); }
 
 milliseconds AgeOf(time_point at, time_point now) {
-  return std::chrono::duration_cast<milliseconds>(std::max(now - at, duration::zero()));
+  return std::chrono::ceil<milliseconds>(std::max(now - at, duration::zero()));
 }
 
 std::optional<milliseconds> AgeOf(const std::optional<time_point>& at, time_point now) {
   return at ? std::optional<milliseconds>(AgeOf(*at, now)) : std::nullopt;
 }
 
-std::optional<time_point> TimeOf(const std::optional<milliseconds>& age, time_point now) {
-  return age ? std::optional<time_point>(now - *age) : std::nullopt;
-}
-
-std::vector<rate_limit_message> ToMessage(const std::vector<rate_limit_statement>& statements,
-                                          time_point now) {
-  std::vector<rate_limit_message> message;
-  message.reserve(statements.size());
-  for (const rate_limit_statement& known : statements) {
-    message.push_back({known.server.str(), known.born, known.rate, AgeOf(known.stated_at, now)});
-  }
-  return message;
-}
-
-std::vector<rate_limit_statement> FromMessage(const std::vector<rate_limit_message>& message,
-                                              time_point now) {
-  std::vector<rate_limit_statement> statements;
-  statements.reserve(message.size());
-  for (const rate_limit_message& limit : message) {
-    statements.push_back(
-        {backend_server_id(limit.server), limit.born, limit.rate, now - limit.age});
-  }
-  return statements;
-}
-
-crash_evidence_message ToMessage(const std::vector<part_evidence>& evidence, time_point now) {
-  crash_evidence_message message;
-  for (const part_evidence& known : evidence) {
-    part_evidence_message part{
-        known.part.str(), {}, AgeOf(known.answered_at, now), AgeOf(known.quarantined_at, now)};
-    for (const server_crash& crash : known.crashes) {
-      part.crashes.push_back({crash.server.str(), AgeOf(crash.at, now)});
-    }
-    message.parts.push_back(std::move(part));
-  }
-  return message;
-}
-
-std::vector<part_evidence> FromMessage(const crash_evidence_message& message, time_point now) {
-  std::vector<part_evidence> evidence;
-  for (const part_evidence_message& part : message.parts) {
-    part_evidence known;
-    known.part = prompt_part_id(part.part);
-    known.answered_at = TimeOf(part.answered_age, now);
-    known.quarantined_at = TimeOf(part.quarantined_age, now);
-    for (const server_crash_message& crash : part.crashes) {
-      known.crashes.push_back({backend_server_id(crash.server), now - crash.age});
-    }
-    evidence.push_back(std::move(known));
-  }
-  return evidence;
-}
-
 }  // namespace
 
-controller_link::controller_link(entry_context& entry, store_client& store,
-                                 controller_election& election, controller_link_hooks hooks)
+controller_link::controller_link(entry_context& entry, controller_election& election,
+                                 controller_link_hooks hooks)
     : entry_(entry),
-      store_(store),
       election_(election),
       hooks_(std::move(hooks)),
+      self_{entry.settings.vm, LinkAddress(entry.settings), entry.settings.failure_domain,
+            Capacity(entry.settings)},
       health_(entry, "controller"),
       network_(entry.context, PeerSettings(entry.settings), random_source::FromDevice(),
                entry.metrics,
-               [this](const vm_id& vm, const peer_message& message) { OnMessage(vm, message); }) {}
+               [this](const vm_id& vm, const peer_message& message) { OnMessage(vm, message); }),
+      parents_(self_.vm, self_.failure_domain),
+      // Reports of an earlier process of this VM must have other numbers.
+      sequence_(random_source::FromDevice().Next() >> 1U) {}
 
 std::string controller_link::MemberName(const entry_settings& settings,
                                         const std::string& process) {
   return settings.vm.str() + "/" + process + "/" + LinkAddress(settings);
 }
 
-result<std::string> controller_link::Start() {
-  return network_.Listen(LinkAddress(entry_.settings));
+std::optional<relay_node> controller_link::Controller() const {
+  const std::string& holder = election_.record().holder;
+  const std::size_t first = holder.find('/');
+  const std::size_t last = holder.rfind('/');
+  if (first == std::string::npos || first == last) return std::nullopt;
+  relay_node node;
+  node.vm = vm_id(holder.substr(0, first));
+  node.address = holder.substr(last + 1);
+  if (node.vm == self_.vm) return std::nullopt;
+  return node;
 }
 
+result<std::string> controller_link::Start() { return network_.Listen(self_.address); }
+
 awaitable<void> controller_link::Run() {
-  while (!entry_.state.stopping) {
+  for (;;) {
+    const time_point now = entry_.clock.Now();
+    // A VM that stops must not be appointed as a relay.
+    if (entry_.state.stopping) self_.capacity = 0;
+    RemoveFormerFollowers(now);
     if (election_.HoldsControllerRole()) {
-      if (controller_) network_.SetPeers({});
-      controller_.reset();
-      feed_received_at_.reset();
-      PublishEvidence();
+      Lead(now);
     } else {
-      published_offset_.reset();
-      co_await FollowController();
+      Follow(now);
     }
+    SendEvidence();
     co_await Pause(entry_.context, kReportInterval);
   }
-  network_.SetPeers({});
 }
 
-awaitable<void> controller_link::FollowController() {
-  const time_point now = entry_.clock.Now();
-  const bool controller_silent =
-      !feed_received_at_ || now - *feed_received_at_ > kControllerTimeout;
-  const bool lookup_due = !looked_up_at_ || now - *looked_up_at_ > kLookupInterval;
-  // Before the first answer of the store this VM is no member, and there may be no controller yet.
-  const bool has_joined = election_.generation() > 0;
-  if (controller_silent && lookup_due && has_joined) {
-    looked_up_at_ = now;
-    co_await FindController();
+void controller_link::AnnounceRelease() {
+  const std::uint64_t offset = published_offset_.value_or(0);
+  BroadcastFeed(offset, offset, {});
+}
+
+void controller_link::RemoveFormerFollowers(time_point now) {
+  reports_.RemoveExpired(now);
+  for (const auto& [vm, sequence] : reports_.Followers()) {
+    if (!network_.IsConnected(vm)) reports_.Remove(vm);
   }
-  SendOwnRequests();
 }
 
-awaitable<void> controller_link::FindController() {
-  if (controller_) health_.Failed("silent");
-  const auto member = co_await store_.FindController();
-  if (!member) {
-    entry_.log.Write("controller_unknown", {{"reason", member.reason()}});
-    co_return;
+void controller_link::Lead(time_point now) {
+  if (parent_) network_.SetPeers({});
+  parent_.reset();
+  feed_received_at_.reset();
+  // The loads are of use also while the store cannot be read.
+  const bool due = published_at_ && now - *published_at_ >= kFeedInterval;
+  if (published_offset_ && due) BroadcastFeed(*published_offset_, *published_offset_, {});
+}
+
+void controller_link::Follow(time_point now) {
+  published_offset_.reset();
+  relays_.clear();
+  parents_.SetController(Controller());
+  const bool silent = IsParentSilent(now);
+  if (silent) {
+    health_.Failed("silent");
+    parents_.Exclude(parent_->node.vm, now);
   }
-  const auto found = ParseMemberName(*member);
-  if (!found || found->vm == entry_.settings.vm) co_return;
-  // Reconnects also when the controller is unchanged, because the existing link has gone silent.
-  network_.SetPeers({});
-  network_.SetPeers({*found});
-  controller_ = found->vm;
-  entry_.log.Write("controller_found", {{"controller", found->vm.str()},
-                                        {"address", found->address},
-                                        {"generation", election_.generation()}});
+  const auto selected = parents_.Select(now);
+  if (!selected) {
+    if (parent_) network_.SetPeers({});
+    parent_.reset();
+    return;
+  }
+  const bool changed =
+      !parent_ || parent_->node.vm != selected->vm || parent_->node.address != selected->address;
+  // Connects anew also when the parent stays the same, because its connection may have gone silent.
+  if (changed || silent) Connect(*selected, now);
+  ReportLoad(now);
 }
 
-void controller_link::SendOwnRequests() {
-  if (!controller_) return;
-  network_.Send(*controller_, vm_load_message{ToMessage(hooks_.own_requests()), OwnRateLimits()});
-  SendEvidence(*controller_, hooks_.own_evidence());
+bool controller_link::IsParentSilent(time_point now) const {
+  if (!parent_) return false;
+  const time_point heard =
+      std::max(parent_->connected_at, feed_received_at_.value_or(time_point()));
+  return now - heard > kParentTimeout;
 }
 
-std::vector<rate_limit_message> controller_link::OwnRateLimits() const {
-  return ToMessage(hooks_.rate_limits(), entry_.clock.Now());
+void controller_link::Connect(const relay_node& parent, time_point now) {
+  network_.SetPeers({});
+  network_.SetPeers({{parent.vm, parent.address}});
+  parent_ = parent_link{parent, now, {}, {}};
+  entry_.log.Write("parent_selected", {{"parent", parent.vm.str()},
+                                       {"address", parent.address},
+                                       {"controller", election_.record().holder},
+                                       {"relays", parents_.IsRelay()}});
 }
 
-void controller_link::SendEvidence(const vm_id& to, const std::vector<part_evidence>& evidence) {
-  if (!evidence.empty()) network_.Send(to, ToMessage(evidence, entry_.clock.Now()));
+void controller_link::ReportLoad(time_point now) {
+  vm_load_message report;
+  report.servers = ToMessage(reports_.Sum(hooks_.own_requests(), false));
+  report.limits = ToMessage(hooks_.rate_limits(), now);
+  report.node = ToMessage(self_);
+  report.vms = reports_.CountVms(false);
+  report.sequence = ++sequence_;
+  const auto successor = reports_.Successor();
+  if (successor) report.successor = ToMessage(*successor);
+  if (!network_.Send(parent_->node.vm, report)) return;
+  parent_->sent.emplace_back(sequence_, now);
+  if (parent_->sent.size() > kMaxSentReports) parent_->sent.pop_front();
 }
 
-void controller_link::PublishEvidence() {
-  const std::vector<part_evidence> evidence = hooks_.all_evidence();
-  for (const auto& [vm, known] : followers_) SendEvidence(vm, evidence);
+void controller_link::SendEvidence() {
+  const time_point now = entry_.clock.Now();
+  const bool has_followers = !reports_.empty();
+  const auto evidence = has_followers ? hooks_.all_evidence() : hooks_.own_evidence();
+  if (evidence.empty()) return;
+  const crash_evidence_message message = ToMessage(evidence, now);
+  std::vector<vm_id> receivers;
+  if (parent_) receivers.push_back(parent_->node.vm);
+  for (const auto& [vm, sequence] : reports_.Followers()) receivers.push_back(vm);
+  network_.Broadcast(receivers, message);
 }
 
 bool controller_link::IsFeedCurrent() const {
-  return feed_received_at_ && entry_.clock.Now() - *feed_received_at_ <= kFeedTimeout;
+  const time_point now = entry_.clock.Now();
+  return feed_received_at_ && now - *feed_received_at_ <= kFeedTimeout &&
+         now - *feed_read_at_ <= kMaxFeedAge;
 }
 
 void controller_link::OnMessage(const vm_id& vm, const peer_message& message) {
-  const time_point now = entry_.clock.Now();
   if (const auto* load = std::get_if<vm_load_message>(&message)) {
-    followers_[vm] = {FromMessage(load->servers), now};
-    hooks_.on_rate_limits(FromMessage(load->limits, now));
+    OnLoad(vm, *load);
+  } else if (const auto* feed = std::get_if<directory_feed_message>(&message)) {
+    OnFeed(vm, *feed);
   } else if (const auto* stall = std::get_if<stall_message>(&message)) {
     hooks_.on_stall(*stall);
+    if (!election_.HoldsControllerRole() && parent_ && parent_->node.vm != vm) {
+      network_.Send(parent_->node.vm, *stall);
+    }
   } else if (const auto* evidence = std::get_if<crash_evidence_message>(&message)) {
-    hooks_.on_evidence(FromMessage(*evidence, now));
-  } else if (const auto* feed = std::get_if<directory_feed_message>(&message)) {
-    // A previous controller may still send messages; only those of the current one count.
-    if (controller_ != vm) return;
-    feed_received_at_ = now;
-    health_.Succeeded();
-    NotifyOtherRequests(FromMessage(feed->servers));
-    hooks_.on_rate_limits(FromMessage(feed->limits, now));
-    hooks_.on_feed(*feed);
+    hooks_.on_evidence(FromMessage(*evidence, entry_.clock.Now()));
   }
 }
 
-bool controller_link::ReportStall(const stall_message& stall) {
-  if (election_.HoldsControllerRole()) return true;
-  return IsFeedCurrent() && network_.Send(*controller_, stall);
+void controller_link::OnLoad(const vm_id& vm, const vm_load_message& load) {
+  const time_point now = entry_.clock.Now();
+  load_report report;
+  report.node = FromMessage(load.node);
+  report.node.vm = vm;
+  report.vms = load.vms;
+  report.requests = FromMessage(load.servers);
+  report.sequence = load.sequence;
+  if (load.successor) report.successor = FromMessage(*load.successor);
+  reports_.Record(std::move(report), now);
+  hooks_.on_rate_limits(FromMessage(load.limits, now));
 }
 
-server_requests controller_link::AllRequests() {
+void controller_link::OnFeed(const vm_id& vm, const directory_feed_message& feed) {
+  if (election_.HoldsControllerRole() || !parent_ || parent_->node.vm != vm) return;
+  // A previous controller may still send messages, and relays may pass them on.
+  if (feed.lease_end < election_.record().end) return;
   const time_point now = entry_.clock.Now();
-  std::erase_if(followers_,
-                [&](const auto& item) { return now - item.second.reported_at > kReportLifetime; });
-  server_requests all = hooks_.own_requests();
-  for (const auto& [vm, known] : followers_) {
-    for (const auto& [server, running] : known.requests) all[server] += running;
+  feed_received_at_ = now;
+  feed_read_at_ = now - feed.age;
+  health_.Succeeded();
+  election_.Observe({feed.lease_holder, feed.lease_end});
+  std::vector<relay_node> relays;
+  for (const relay_node_message& relay : feed.relays) relays.push_back(FromMessage(relay));
+  parents_.SetRelays(relays);
+  RecordReceipts(feed.receipts);
+  const operators_view operators = OperatorsOf(feed, now);
+  directory_feed_message passed_on = feed;
+  passed_on.operators_age_bound = AgeOf(operators.confirmed_since, now);
+  Broadcast(std::move(passed_on));
+  NotifyOtherRequests(FromMessage(feed.servers), feed.vms);
+  hooks_.on_rate_limits(FromMessage(feed.limits, now));
+  hooks_.on_operators(operators);
+  hooks_.on_feed(feed);
+}
+
+void controller_link::RecordReceipts(const std::vector<load_receipt_message>& receipts) {
+  const auto own = std::find_if(receipts.begin(), receipts.end(), [&](const auto& receipt) {
+    return receipt.vm == HashOf(self_.vm);
+  });
+  if (own == receipts.end()) return;
+  auto& sent = parent_->sent;
+  while (!sent.empty() && sent.front().first <= own->sequence) {
+    if (sent.front().first == own->sequence) parent_->received_report_sent_at = sent.front().second;
+    sent.pop_front();
   }
-  return all;
+}
+
+operators_view controller_link::OperatorsOf(const directory_feed_message& feed,
+                                            time_point now) const {
+  operators_view view;
+  view.next = feed.operators_next;
+  if (feed.operators_age) view.confirmed_at = now - *feed.operators_age;
+  if (feed.operators_age_bound && parent_->received_report_sent_at) {
+    // The parent sent the feed after it had received that report.
+    view.confirmed_since = *parent_->received_report_sent_at - *feed.operators_age_bound;
+  }
+  return view;
+}
+
+bool controller_link::ReportStall(const stall_message& stall) {
+  if (election_.HoldsControllerRole()) return true;
+  return IsFeedCurrent() && network_.Send(parent_->node.vm, stall);
 }
 
 void controller_link::Publish(std::uint64_t from, std::uint64_t next,
                               const std::vector<registration_message>& changes,
                               time_point sent_at) {
   if (!election_.HoldsControllerRole()) return;
-  const time_point now = entry_.clock.Now();
-  const bool due = !published_at_ || now - *published_at_ >= kFeedInterval;
+  read_sent_at_ = sent_at;
+  const bool due = !published_at_ || entry_.clock.Now() - *published_at_ >= kFeedInterval;
   if (published_offset_ && changes.empty() && !due) return;
-  const server_requests all = AllRequests();
+  // Reads skipped since the last feed changed nothing, so this feed covers them, too.
+  BroadcastFeed(published_offset_ ? std::min(*published_offset_, from) : from, next, changes);
+}
+
+void controller_link::BroadcastFeed(std::uint64_t from, std::uint64_t next,
+                                    const std::vector<registration_message>& changes) {
+  const time_point now = entry_.clock.Now();
+  UpdateRelays();
+  const server_requests all = reports_.Sum(hooks_.own_requests(), true);
+  const std::size_t vms = reports_.CountVms(true);
+  const operators_view operators = hooks_.operators();
   directory_feed_message feed;
-  // Reads skipped since the last message changed nothing, so this message covers them, too.
-  feed.from = published_offset_ ? std::min(*published_offset_, from) : from;
+  feed.from = from;
   feed.next = next;
   feed.changes = PackChanges(changes);
-  feed.age = std::chrono::ceil<milliseconds>(now - sent_at);
+  feed.age = AgeOf(read_sent_at_, now);
   feed.servers = ToMessage(all);
-  feed.limits = OwnRateLimits();
+  feed.limits = ToMessage(hooks_.rate_limits(), now);
+  feed.lease_holder = election_.record().holder;
+  feed.lease_end = election_.record().end;
+  feed.vms = vms;
+  for (const relay_node& relay : relays_) feed.relays.push_back(ToMessage(relay));
+  feed.operators_next = operators.next;
+  feed.operators_age = AgeOf(operators.confirmed_at, now);
+  feed.operators_age_bound = AgeOf(operators.confirmed_since, now);
   published_offset_ = next;
   published_at_ = now;
-  for (const auto& [vm, known] : followers_) network_.Send(vm, feed);
-  NotifyOtherRequests(all);
+  Broadcast(std::move(feed));
+  NotifyOtherRequests(all, vms);
+}
+
+void controller_link::Broadcast(directory_feed_message feed) {
+  if (reports_.empty()) return;
+  feed.receipts.clear();
+  std::vector<vm_id> followers;
+  for (const auto& [vm, sequence] : reports_.Followers()) {
+    feed.receipts.push_back({HashOf(vm), sequence});
+    followers.push_back(vm);
+  }
+  network_.Broadcast(followers, feed);
+}
+
+void controller_link::UpdateRelays() {
+  auto relays = AppointRelays(reports_.RelayCandidates(), reports_.VmsByDomain(), relays_);
+  if (relays == relays_) return;
+  std::string names;
+  for (const relay_node& relay : relays) names += relay.vm.str() + " ";
+  entry_.log.Write(
+      "relays_appointed",
+      {{"relays", names}, {"previous", relays_.size()}, {"vms", reports_.CountVms(true)}});
+  relays_ = std::move(relays);
 }
 
-void controller_link::NotifyOtherRequests(server_requests all) const {
+void controller_link::NotifyOtherRequests(server_requests all, std::size_t vms) const {
   for (const auto& [server, running] : hooks_.own_requests()) {
     std::uint32_t& others = all[server];
     // The total is older than this VM's own count and may be smaller.
     others -= std::min(others, running);
   }
-  hooks_.on_other_requests(all);
+  hooks_.on_other_requests(all, vms);
 }
 
 }  // namespace waxwingwing
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -1,25 +1,36 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <functional>
-#include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "entry/controller_election.h"
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
-#include "platform/store_client.h"
 #include "waxwingwing/core/random_source.h"
 #include "waxwingwing/dispatch/server_notices.h"
 #include "waxwingwing/dispatch/server_requests.h"
 #include "waxwingwing/peer/peer_network.h"
 #include "waxwingwing/quarantine/prompt_quarantine.h"
+#include "waxwingwing/relay/load_report_table.h"
+#include "waxwingwing/relay/relay_tree.h"
 
 namespace waxwingwing {
 
+/// What a VM knows of the operators' records in the store.
+struct operators_view {
+  /// Offset after the newest record.
+  std::uint64_t next = 0;
+  /// When it was last confirmed that there is no newer record.
+  std::optional<time_point> confirmed_at;
+  /// A time that is certainly not after that confirmation, however long messages took.
+  std::optional<time_point> confirmed_since;
+};
+
 /// Callbacks that connect the controller link with the rest of the entry process.
 struct controller_link_hooks {
   /// Called with the registration changes that the controller has read from the store.
@@ -28,8 +39,9 @@
   std::function<void(const stall_message&)> on_stall;
   /// Returns this VM's running requests on each backend server.
   std::function<server_requests()> own_requests;
-  /// Called with the running requests of all other VMs on each backend server.
-  std::function<void(const server_requests&)> on_other_requests;
+  /// Called with the running requests of all other VMs on each backend server, and the number of
+  /// all VMs.
+  std::function<void(const server_requests&, std::size_t vms)> on_other_requests;
   /// Returns the limits that servers have stated, as far as this VM knows of them.
   std::function<std::vector<rate_limit_statement>()> rate_limits;
   /// Called with the limits that other VMs know of.
@@ -40,71 +52,100 @@
   std::function<std::vector<part_evidence>()> all_evidence;
   /// Called with observations of other VMs.
   std::function<void(const std::vector<part_evidence>&)> on_evidence;
+  /// Returns what this VM knows of the operators' records.
+  std::function<operators_view()> operators;
+  /// Called with what the controller knows of the operators' records.
+  std::function<void(const operators_view&)> on_operators;
 };
 
-/// Connects each entry VM directly with the controller.
+/// Connects each entry VM with the controller, in large deployments through relays.
 ///
-/// The controller reads the registrations for all VMs and forwards changes to the others, so that
-/// they need not poll the store. Stalls that a VM detects, and the VMs' running requests on each
-/// backend server, are also exchanged over this link. The link is an optimisation only: a VM that
-/// receives no messages reads the store itself. Use from one thread.
+/// The controller reads the registrations for all VMs and sends changes to the others, so that they
+/// need not poll the store. Stalls that a VM detects, and the VMs' running requests on each backend
+/// server, are also exchanged over this link. A VM follows one other VM, its parent: it reports to
+/// it and receives its feeds. A relay adds the reports of its followers to its own and passes feeds
+/// on. The link is an optimisation only: a VM that receives no messages reads the store itself. Use
+/// from one thread.
 class controller_link {
  public:
-  controller_link(entry_context& entry, store_client& store, controller_election& election,
-                  controller_link_hooks hooks);
+  controller_link(entry_context& entry, controller_election& election, controller_link_hooks hooks);
 
-  /// Returns the name under which a VM joins the election: VM id, process id and link address,
-  /// separated by slashes.
+  /// Returns the name under which a process takes part in the election: VM id, process id and link
+  /// address, separated by slashes.
   static std::string MemberName(const entry_settings& settings, const std::string& process);
 
   /// Starts to listen for other VMs; fails with the operating system's error message.
   result<std::string> Start();
-  /// Follows the controller and reports to it until shutdown.
+  /// Follows the controller and reports to it, also during a shutdown, in which followers move to
+  /// other VMs.
   awaitable<void> Run();
+  /// Tells the followers that this VM has released the controller's lease.
+  void AnnounceRelease();
 
-  /// Whether a message of the controller has arrived recently.
+  /// Whether a message with recent registrations has arrived recently.
   bool IsFeedCurrent() const;
-  /// On the controller, forwards the changes of a read of the registrations, from offset `from` up
-  /// to `next`, to the other VMs. `sent_at` is when the read was sent.
+  /// On the controller, sends the changes of a read of the registrations, from offset `from` up to
+  /// `next`, to the other VMs. `sent_at` is when the read was sent.
   void Publish(std::uint64_t from, std::uint64_t next,
                const std::vector<registration_message>& changes, time_point sent_at);
   /// Reports a stalled group to the controller; returns false when there is no link.
   bool ReportStall(const stall_message& stall);
 
  private:
-  struct follower {
-    server_requests requests;
-    time_point reported_at{};
+  /// The VM that this one follows.
+  struct parent_link {
+    relay_node node;
+    time_point connected_at{};
+    /// Numbers of the reports that were sent lately, with when they were.
+    std::deque<std::pair<std::uint64_t, time_point>> sent;
+    /// When the last report was sent that the parent had received before its last feed.
+    std::optional<time_point> received_report_sent_at;
   };
 
   void OnMessage(const vm_id& vm, const peer_message& message);
-  awaitable<void> FollowController();
-  awaitable<void> FindController();
-  void SendOwnRequests();
-  std::vector<rate_limit_message> OwnRateLimits() const;
-  void SendEvidence(const vm_id& to, const std::vector<part_evidence>& evidence);
-  void PublishEvidence();
+  void OnLoad(const vm_id& vm, const vm_load_message& load);
+  void OnFeed(const vm_id& vm, const directory_feed_message& feed);
+  /// Updates when the parent is known to have sent its last feed at the earliest.
+  void RecordReceipts(const std::vector<load_receipt_message>& receipts);
+  operators_view OperatorsOf(const directory_feed_message& feed, time_point now) const;
+  void RemoveFormerFollowers(time_point now);
+  void Lead(time_point now);
+  void Follow(time_point now);
+  void Connect(const relay_node& parent, time_point now);
+  bool IsParentSilent(time_point now) const;
+  void ReportLoad(time_point now);
+  void SendEvidence();
+  /// Sends a feed to the followers, with a receipt for each of them.
+  void Broadcast(directory_feed_message feed);
+  void BroadcastFeed(std::uint64_t from, std::uint64_t next,
+                     const std::vector<registration_message>& changes);
+  /// Appoints the relays, and logs changes.
+  void UpdateRelays();
   /// Subtracts this VM's own requests from those of all VMs and passes the difference to
   /// `on_other_requests`.
-  void NotifyOtherRequests(server_requests all) const;
-  /// Sums the latest requests of this VM and all followers; removes followers whose reports
-  /// expired.
-  server_requests AllRequests();
+  void NotifyOtherRequests(server_requests all, std::size_t vms) const;
+  std::optional<relay_node> Controller() const;
 
   entry_context& entry_;
-  store_client& store_;
   controller_election& election_;
   const controller_link_hooks hooks_;
+  relay_node self_;
   dependency_health health_;
   peer_network network_;
-  /// The controller, when it is another VM and is known.
-  std::optional<vm_id> controller_;
+  parent_selection parents_;
+  std::optional<parent_link> parent_;
   std::optional<time_point> feed_received_at_;
-  std::optional<time_point> looked_up_at_;
-  std::map<vm_id, follower> followers_;
-  /// Offset at which the next message to the followers begins.
+  /// When the registrations of the last feed were read from the store.
+  std::optional<time_point> feed_read_at_;
+  load_report_table reports_;
+  std::uint64_t sequence_;
+  /// The relays that this VM has appointed as the controller.
+  std::vector<relay_node> relays_;
+  /// Offset at which the next feed of this VM as the controller begins.
   std::optional<std::uint64_t> published_offset_;
   std::optional<time_point> published_at_;
+  /// When this VM sent its last successful read of the registrations.
+  time_point read_sent_at_{};
 };
 
 }  // namespace waxwingwing
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -20,6 +20,8 @@
 constexpr milliseconds kRemovalCheckInterval{300};
 /// Interval at which a VM checks whether the controller still forwards changes to it.
 constexpr milliseconds kFeedCheckInterval{250};
+/// Age of a feed's registrations from which the feed does not confirm them.
+constexpr milliseconds kMaxFeedAge{1200};
 /// Time within which running servers register again after an outage of the store.
 constexpr milliseconds kReregistrationTime{2500};
 /// Time without a successful read after which removals may be an effect of a store outage.
@@ -137,6 +139,8 @@
 }
 
 void directory_controller::OnFeed(const directory_feed_message& feed) {
+  // While the controller cannot read the store, its feeds say nothing new about servers.
+  if (feed.age > kMaxFeedAge) return;
   // When records are missing in between, they must be read from the store.
   if (!offset_ || feed.from > *offset_) {
     has_gap_ = true;
@@ -191,7 +195,8 @@
 }
 
 void directory_controller::FinishRead(time_point sent_at) {
-  entry_.state.directory_confirmed_at = sent_at;
+  auto& confirmed_at = entry_.state.directory_confirmed_at;
+  confirmed_at = std::max(confirmed_at.value_or(sent_at), sent_at);
   for (const backend_server_id& id : entry_.state.directory.ApplyDueRemovals(entry_.clock.Now())) {
     entry_.log.Write("server_removed", {{"server", id.str()}});
   }
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -20,6 +20,7 @@
 #include "entry/formation_controller.h"
 #include "entry/readiness_server.h"
 #include "entry/stall_notice_channel.h"
+#include "entry/work_membership.h"
 #include "platform/header_codec.h"
 #include "platform/settings_file.h"
 #include "waxwingwing/core/finding.h"
@@ -67,10 +68,13 @@
         forwarder_(
             {context_, clock_, codec_, selection_, retries_, quarantine_, log_, metrics_, *this},
             {}),
-        election_(entry_, store_, controller_link::MemberName(settings, random_.HexId()),
-                  [this] { UpdateWorkShare(); }),
-        link_(entry_, store_, election_, LinkHooks()),
-        configuration_(entry_, store_, [this] { UpdateDispatch(); }),
+        member_name_(controller_link::MemberName(settings, random_.HexId())),
+        election_(entry_, store_, member_name_, random_source::FromDevice()),
+        membership_(entry_, store_, member_name_, [this] { UpdateWorkShare(); }),
+        link_(entry_, election_, LinkHooks()),
+        configuration_(
+            entry_, store_, [this] { return election_.HoldsControllerRole(); },
+            [this] { UpdateDispatch(); }),
         directory_(entry_, store_, DirectoryHooks()),
         formation_(entry_, election_, orders_),
         stall_notice_channel_(
@@ -95,6 +99,7 @@
     asio::co_spawn(context_, configuration_.Run(), asio::detached);
     asio::co_spawn(context_, directory_.Run(), asio::detached);
     asio::co_spawn(context_, election_.Run(), asio::detached);
+    asio::co_spawn(context_, membership_.Run(), asio::detached);
     asio::co_spawn(context_, link_.Run(), asio::detached);
     asio::co_spawn(context_, formation_.Run(), asio::detached);
     asio::co_spawn(context_, stall_notice_channel_.Run(), asio::detached);
@@ -108,7 +113,7 @@
 
   bool AreKeysCurrent() const override {
     if (!settings_.strict_revoke) return true;
-    return ConfigurationAge() < settings_.revoke_limit - kRevokeMargin;
+    return AgeOf(state_.keys_confirmed_at) < settings_.revoke_limit - kRevokeMargin;
   }
 
   void OnStall(const server_group_id& group, const backend_server_id& head) override {
@@ -139,8 +144,9 @@
       formation_.OnStall(server_group_id(stall.group));
     };
     hooks.own_requests = [this] { return selection_.OwnRequests(); };
-    hooks.on_other_requests = [this](const server_requests& requests) {
-      selection_.SetOtherRequests(requests, clock_.Now());
+    hooks.on_other_requests = [this](const server_requests& requests, std::size_t vms) {
+      state_.vms = vms;
+      selection_.SetOtherRequests(requests, vms, clock_.Now());
     };
     hooks.rate_limits = [this] { return selection_.RateLimits(clock_.Now()); };
     hooks.on_rate_limits = [this](const std::vector<rate_limit_statement>& statements) {
@@ -148,6 +154,10 @@
     };
     hooks.own_evidence = [this] { return quarantine_.OwnEvidence(); };
     hooks.all_evidence = [this] { return quarantine_.AllEvidence(); };
+    hooks.operators = [this] { return configuration_.View(); };
+    hooks.on_operators = [this](const operators_view& view) {
+      configuration_.OnControllerView(view);
+    };
     hooks.on_evidence = [this](const std::vector<part_evidence>& evidence) {
       LogQuarantine(quarantine_.Merge(evidence, clock_.Now()));
     };
@@ -172,8 +182,8 @@
   }
 
   void UpdateWorkShare() {
-    selection_.SetPartitions(election_.ConfirmedAssignment());
-    retries_.SetShare(election_.partition_assignment().Share());
+    selection_.SetPartitions(membership_.ConfirmedPartitions());
+    retries_.SetShare(membership_.partitions().Share());
   }
 
   void UpdateDispatch() {
@@ -183,13 +193,14 @@
         [this](const backend_server_id& id) { return state_.directory.Find(id) != nullptr; },
         clock_.Now());
     forwarder_.SetConfiguration(state_.configuration);
-    auto map = std::make_shared<dispatch_map>(state_.directory, *state_.configuration);
+    auto map =
+        std::make_shared<dispatch_map>(state_.directory, *state_.configuration, settings_.vm);
     const std::string candidates = map->Describe();
     if (candidates != candidates_) {
       log_.Write("candidates_changed", {{"candidates", candidates},
                                         {"configuration", state_.configuration->version},
                                         {"servers", state_.directory.entries().size()},
-                                        {"share", election_.partition_assignment().Share()}});
+                                        {"share", membership_.partitions().Share()}});
     }
     candidates_ = candidates;
     forwarder_.SetMap(std::move(map));
@@ -247,6 +258,8 @@
                {{"connections", forwarder_.Connections()}, {"running", forwarder_.RunningCalls()}});
     forwarder_.BeginShutdown();
     co_await election_.Leave();
+    link_.AnnounceRelease();
+    co_await membership_.Leave();
     const auto limit = std::chrono::duration_cast<duration>(settings_.termination_grace_period *
                                                             kShutdownFraction);
     const time_point deadline = began_at + limit;
@@ -281,7 +294,10 @@
   service_retry_budgets retries_;
   prompt_quarantine quarantine_;
   forwarder forwarder_;
+  /// Name of this process among the processes of all VMs.
+  const std::string member_name_;
   controller_election election_;
+  work_membership membership_;
   controller_link link_;
   configuration_controller configuration_;
   directory_controller directory_;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -18,11 +19,16 @@
 /// controller only. Use from one thread.
 struct entry_state {
   std::shared_ptr<const traffic_configuration> configuration;
-  /// When the last successful read of the operators' records was sent.
+  /// When the operators' records were last confirmed to be the newest, by this VM or the
+  /// controller.
   std::optional<time_point> configuration_confirmed_at;
+  /// A time that is certainly not after that confirmation, however long messages took.
+  std::optional<time_point> keys_confirmed_at;
   server_directory directory;
   /// When the last successful read of the registrations was sent, by this VM or the controller.
   std::optional<time_point> directory_confirmed_at;
+  /// Number of entry VMs, as the controller last stated it; 0 while it is not known.
+  std::size_t vms = 0;
   bool stopping = false;
 };
 
--- a/src/entry/formation_controller.cc
+++ b/src/entry/formation_controller.cc
@@ -15,9 +15,10 @@
 /// Traffic begins 10 s after the first start of a deployment; model loads before that are not
 /// limited.
 constexpr milliseconds kUnlimitedLoadTime{8500};
-/// Number of epochs reserved for each generation, so that the epochs of a term exceed those of all
-/// earlier terms, including epochs that appear in no registration.
-constexpr std::uint64_t kEpochsPerGeneration = 1000;
+/// Number of epochs reserved for each term, so that the epochs of a term exceed those of all
+/// earlier terms, including epochs that appear in no registration. Each renewal of the lease
+/// increases the number of the next term, too.
+constexpr std::uint64_t kEpochsPerTerm = 1000;
 
 }  // namespace
 
@@ -57,9 +58,10 @@
     acting_ = false;
     return;
   }
-  if (!acting_) {
-    acting_ = true;
-    epoch_floor_ = election_.generation() * kEpochsPerGeneration;
+  acting_ = true;
+  if (term_ != election_.term()) {
+    term_ = election_.term();
+    epoch_floor_ = election_.term() * kEpochsPerTerm;
     for (auto& [service, planner] : planners_) planner.Reset(epoch_floor_);
   }
   const time_point now = entry_.clock.Now();
@@ -99,7 +101,7 @@
                                   {"members", order.members.size()},
                                   {"model", order.model},
                                   {"outcome", NameOf(answer.outcome)},
-                                  {"generation", election_.generation()},
+                                  {"term", election_.term()},
                                   {"took_ms", now - sent_at}});
   group_planner& planner = PlannerOf(service);
   if (probe) {
--- a/src/entry/formation_controller.h
+++ b/src/entry/formation_controller.h
@@ -36,6 +36,8 @@
   wakeable_pause pause_;
   const time_point started_at_;
   std::map<service_id, group_planner> planners_;
+  /// The term in which the planners' state was built up.
+  std::uint64_t term_ = 0;
   /// Epochs assigned in the current term are greater than this.
   std::uint64_t epoch_floor_ = 0;
   /// The shortage last logged for each service.
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -84,14 +84,26 @@
   return {};
 }
 
+bool IsUnnamed(const relay_node_message& node) { return node.vm.empty() || node.address.empty(); }
+
 std::string InvalidReason(const vm_load_message& message) {
   if (HasEmptyServerName(message.servers)) return "a server load has no server name";
+  if (message.vms == 0) return "a load report is of no VM";
+  if (message.successor && IsUnnamed(*message.successor)) return "a relay has no name or address";
   return InvalidReason(message.limits);
 }
 
 std::string InvalidReason(const directory_feed_message& message) {
   if (message.next < message.from) return "directory feed offsets are not in ascending order";
   if (HasEmptyServerName(message.servers)) return "a server load has no server name";
+  if (std::any_of(message.relays.begin(), message.relays.end(), IsUnnamed)) {
+    return "a relay has no name or address";
+  }
+  if (message.operators_age && message.operators_age->count() < 0) return "an age is negative";
+  const bool is_bounded = message.operators_age && message.operators_age_bound;
+  if (is_bounded && *message.operators_age_bound < *message.operators_age) {
+    return "the bound of an age is below the age";
+  }
   return InvalidReason(message.limits);
 }
 
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -114,6 +114,11 @@
 awaitable<void> platform_store::Append(http_exchange& exchange) {
   const std::string name = exchange.QueryText("topic");
   const std::uint64_t offset = topics_[name].end();
+  if (!exchange.QueryText("at").empty() && exchange.QueryNumber("at", 0) != offset) {
+    const json conflict = {{"end", offset}};
+    co_await exchange.Answer(412, conflict);
+    co_return;
+  }
   std::string_view body = exchange.request().body();
   while (body.size() >= kLengthBytes) {
     const std::uint64_t length = FromBigEndian(body.substr(0, kLengthBytes));
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -23,12 +23,12 @@
 /// A port of loopback that is free at this moment. It lies below the ports that the system gives to
 /// outgoing connections, one of which could otherwise take it before the entry VM listens.
 std::string FreeAddress() {
-  constexpr std::uint16_t kFirstPort = 16000;
-  constexpr std::uint64_t kPorts = 16000;
-  constexpr int kAttempts = 100;
+  constexpr std::uint16_t first_port = 16000;
+  constexpr std::uint64_t ports = 16000;
+  constexpr int attempts = 100;
   static random_source random = random_source::FromDevice();
-  for (int attempt = 0; attempt < kAttempts; ++attempt) {
-    const auto port = static_cast<std::uint16_t>(kFirstPort + random.Below(kPorts));
+  for (int attempt = 0; attempt < attempts; ++attempt) {
+    const auto port = static_cast<std::uint16_t>(first_port + random.Below(ports));
     const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
--- a/tests/integration/entry_test.cc
+++ b/tests/integration/entry_test.cc
@@ -128,7 +128,7 @@
   entry_deployment deployment({.runners = 3});
   deployment.WaitUntilServing();
   child_process& second = deployment.AddEntry("second");
-  CHECK(WaitFor([&] { return !deployment.LogLines("controller_found", "second").empty(); },
+  CHECK(WaitFor([&] { return !deployment.LogLines("parent_selected", "second").empty(); },
                 milliseconds(6000)));
   // What only the controller has read from the store arrives over the link.
   const auto removed = [&] { return deployment.LogLines("server_removed", "second").size(); };
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -72,8 +72,7 @@
   CHECK(configuration.ServiceById(service_id("pool"))->models.size() == 2);
 }
 
-TEST_CASE("the store client joins a limited number of topics and finds the controller",
-          "[platform]") {
+TEST_CASE("the store client joins a limited number of topics", "[platform]") {
   boost::asio::io_context context;
   scripted_http_server server(context);
   metrics_registry metrics;
@@ -84,21 +83,45 @@
     const auto view = RunAwaitable(
         context, store.KeepMembership("vm/process/10.0.0.1:7340", 0, milliseconds(1200)));
     REQUIRE(view);
-    CHECK(view->HoldsControllerRole());
     CHECK(view->partition_assignment.held == std::set<std::size_t>{0});
     // The store keeps at most 100 topics, including those for other purposes.
     const auto topics = json::parse(server.seen().back().body)["topics"];
     CHECK(topics.size() <= 50);
     CHECK(view->partition_assignment.all == topics.size() * partitions);
   }
+}
+
+TEST_CASE("the store client reads the controller's lease and appends to it on a condition",
+          "[platform]") {
+  boost::asio::io_context context;
+  scripted_http_server server(context);
+  metrics_registry metrics;
+  http_client http(&metrics);
   store_client store(http, server.address(), 12);
-  server.Add({200, R"({"parts":[["waxwingwing-control-0",1,"a/p/10.0.0.1:1",0],
-                                ["waxwingwing-control-0",0,"b/p/10.0.0.2:1",0]]})"});
-  const auto controller = RunAwaitable(context, store.FindController());
-  REQUIRE(controller);
-  CHECK(*controller == "b/p/10.0.0.2:1");
-  server.Add({200, R"({"parts":"none"})"});
-  CHECK(!RunAwaitable(context, store.FindController()));
+  server.Add({200, R"({"end":0,"has_more":false,"items":[]})"});
+  CHECK(*RunAwaitable(context, store.ReadLease()) == lease_record{"", 0});
+  server.Add({200, R"({"end":5,"has_more":false,"items":[{"key":"other","value":"eA=="},
+      {"key":"controller","value":"YS9wLzEwLjAuMC4xOjE="}]})"});
+  CHECK(*RunAwaitable(context, store.ReadLease()) == lease_record{"a/p/10.0.0.1:1", 5});
+  server.Add({200, R"({"offset":5,"end":6})"});
+  const auto appended = RunAwaitable(context, store.AppendLease("b", 5));
+  REQUIRE(appended);
+  CHECK(appended->appended);
+  CHECK(appended->end == 6);
+  CHECK(server.seen().back().target == "/v1/log-append?topic=keyed.waxwingwing-lease&part=0&at=5");
+  CHECK(server.seen().back().body == std::string("\0\0\0\x0c\x0a"
+                                                 "controllerb",
+                                                 16));
+  server.Add({412, R"({"end":7})"});
+  const auto refused = RunAwaitable(context, store.AppendLease("b", 5));
+  REQUIRE(refused);
+  CHECK(!refused->appended);
+  CHECK(refused->end == 7);
+  for (const auto& [status, body] :
+       {std::pair{200U, "{}"}, {200U, "x"}, {503U, "{}"}, {412U, "{}"}}) {
+    server.Add({status, body});
+    CHECK(!RunAwaitable(context, store.AppendLease("b", 5)));
+  }
 }
 
 // Guards against VMs that find no registration at all because of one entry that no server wrote.
--- a/tests/unit/server_selection_test.cc
+++ b/tests/unit/server_selection_test.cc
@@ -195,7 +195,7 @@
       for (server_selection& selection : selections) {
         server_requests others = all;
         for (const auto& [server, count] : selection.OwnRequests()) others[server] -= count;
-        selection.SetOtherRequests(others, now);
+        selection.SetOtherRequests(others, vms, now);
       }
     }
     const std::size_t vm = random.Below(vms);
