--- a/tests/unit/support/lease_fleet.cc
+++ b/simulation/lease_fleet.cc
@@ -1,4 +1,4 @@
-#include "tests/unit/support/lease_fleet.h"
+#include "simulation/lease_fleet.h"
 
 #include <algorithm>
 #include <string>
--- a/tests/unit/support/relay_fleet.cc
+++ b/simulation/relay_fleet.cc
@@ -1,4 +1,4 @@
-#include "tests/unit/support/relay_fleet.h"
+#include "simulation/relay_fleet.h"
 
 #include <algorithm>
 #include <string>
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -95,14 +95,14 @@
     return pause_.Wake();
   }
   if (entry_.state.configuration)
-    Confirm(*view.confirmed_at, view.confirmed_since.value_or(time_point()));
+    Confirm(*view.confirmed_at, view.earliest_confirmation.value_or(time_point()));
 }
 
-void configuration_controller::Confirm(time_point at, time_point at_least) {
+void configuration_controller::Confirm(time_point at, time_point earliest) {
   auto& confirmed = entry_.state.configuration_confirmed_at;
   confirmed = std::max(confirmed.value_or(at), at);
   auto& keys = entry_.state.keys_confirmed_at;
-  keys = std::max(keys.value_or(at_least), at_least);
+  keys = std::max(keys.value_or(earliest), earliest);
 }
 
 bool configuration_controller::IsReadDue() const {
--- a/src/entry/configuration_controller.h
+++ b/src/entry/configuration_controller.h
@@ -4,9 +4,9 @@
 #include <set>
 #include <string>
 
-#include "entry/controller_link.h"
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
+#include "entry/operators_view.h"
 #include "platform/store_client.h"
 #include "waxwingwing/platform/wakeable_pause.h"
 
@@ -38,8 +38,9 @@
   awaitable<bool> ReadAll();
   /// Reads the records that follow `offset_`. Returns false when the store did not answer.
   awaitable<bool> ReadUpdates(milliseconds wait);
-  /// Confirms the records that are known as of `at`, which is certainly not before `at_least`.
-  void Confirm(time_point at, time_point at_least);
+  /// Records that the known records were the newest at `at`, or at `earliest` if messages took
+  /// long.
+  void Confirm(time_point at, time_point earliest);
   /// Whether the last confirmation is too old to wait for one by the controller.
   bool IsReadDue() const;
   /// Applies records; `is_snapshot` when the page holds all keys and not only changes.
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -247,7 +247,7 @@
   RecordReceipts(feed.receipts);
   const operators_view operators = OperatorsOf(feed, now);
   directory_feed_message passed_on = feed;
-  passed_on.operators_age_bound = AgeOf(operators.confirmed_since, now);
+  passed_on.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
   Broadcast(std::move(passed_on));
   NotifyOtherRequests(FromMessage(feed.servers), feed.vms);
   hooks_.on_rate_limits(FromMessage(feed.limits, now));
@@ -274,7 +274,7 @@
   if (feed.operators_age) view.confirmed_at = now - *feed.operators_age;
   if (feed.operators_age_bound && parent_->received_report_sent_at) {
     // The parent sent the feed after it had received that report.
-    view.confirmed_since = *parent_->received_report_sent_at - *feed.operators_age_bound;
+    view.earliest_confirmation = *parent_->received_report_sent_at - *feed.operators_age_bound;
   }
   return view;
 }
@@ -315,7 +315,7 @@
   for (const relay_node& relay : relays_) feed.relays.push_back(ToMessage(relay));
   feed.operators_next = operators.next;
   feed.operators_age = AgeOf(operators.confirmed_at, now);
-  feed.operators_age_bound = AgeOf(operators.confirmed_since, now);
+  feed.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
   published_offset_ = next;
   published_at_ = now;
   Broadcast(std::move(feed));
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -11,6 +11,7 @@
 #include "entry/controller_election.h"
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
+#include "entry/operators_view.h"
 #include "waxwingwing/core/random_source.h"
 #include "waxwingwing/dispatch/server_notices.h"
 #include "waxwingwing/dispatch/server_requests.h"
@@ -22,16 +23,6 @@
 
 namespace waxwingwing {
 
-/// What a VM knows of the operators' records in the store.
-struct operators_view {
-  /// Offset after the newest record.
-  std::uint64_t next = 0;
-  /// When it was last confirmed that there is no newer record.
-  std::optional<time_point> confirmed_at;
-  /// A time that is certainly not after that confirmation, however long messages took.
-  std::optional<time_point> confirmed_since;
-};
-
 /// Callbacks that connect the controller link with the rest of the entry process.
 struct controller_link_hooks {
   /// Called with the registration changes that the controller has read from the store.
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -22,7 +22,7 @@
   /// When the operators' records were last confirmed to be the newest, by this VM or the
   /// controller.
   std::optional<time_point> configuration_confirmed_at;
-  /// A time that is certainly not after that confirmation, however long messages took.
+  /// The earliest time at which that can have been, however long messages took.
   std::optional<time_point> keys_confirmed_at;
   server_directory directory;
   /// When the last successful read of the registrations was sent, by this VM or the controller.
--- a/tests/unit/controller_lease_test.cc
+++ b/tests/unit/controller_lease_test.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "tests/unit/support/lease_fleet.h"
+#include "simulation/lease_fleet.h"
 
 namespace waxwingwing {
 namespace {
--- a/tests/unit/relay_tree_test.cc
+++ b/tests/unit/relay_tree_test.cc
@@ -4,7 +4,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 
-#include "tests/unit/support/relay_fleet.h"
+#include "simulation/relay_fleet.h"
 #include "waxwingwing/relay/load_report_table.h"
 
 namespace waxwingwing {
