link: a VM without a parent has no current feed

After a controller had released its lease, a VM has no parent, but took its last feed to be current for up to 0.8 s; a stall reported then went to the parent that was no longer there, which is undefined behaviour. Change: a feed is current only while there is a parent. Result: controller_link_test failed before (the feed stayed current) and passes.

--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -200,7 +200,7 @@
 
 bool controller_link::IsFeedCurrent() const {
   const time_point now = entry_.clock.Now();
-  return feed_received_at_ && now - *feed_received_at_ <= kFeedTimeout &&
+  return parent_ && feed_received_at_ && now - *feed_received_at_ <= kFeedTimeout &&
          now - *feed_read_at_ <= kMaxFeedAge;
 }
 
--- /dev/null
+++ b/tests/unit/controller_link_test.cc
@@ -0,0 +1,104 @@
+#include "entry/controller_link.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+#include <variant>
+
+#include "tests/unit/run_awaitable.h"
+
+namespace waxwingwing {
+namespace {
+
+/// A link of an entry VM "v", and another VM that is connected to it.
+struct link_fixture {
+  link_fixture() {
+    const auto listening = link.Start();
+    REQUIRE(listening);
+    link_address = *listening;
+    const auto other_listening = other.Listen("127.0.0.1:0");
+    REQUIRE(other_listening);
+    other_address = *other_listening;
+  }
+
+  static entry_settings Settings() {
+    entry_settings settings;
+    settings.vm = vm_id("v");
+    settings.own_ip = "127.0.0.1";
+    settings.failure_domain = failure_domain_id("ifo");
+    return settings;
+  }
+
+  controller_link_hooks Hooks() {
+    controller_link_hooks hooks;
+    hooks.on_feed = [](const directory_feed_message&) {};
+    hooks.on_stall = [](const stall_message&) {};
+    hooks.own_requests = [] { return server_requests(); };
+    hooks.on_other_requests = [](const server_requests&, std::size_t) {};
+    hooks.rate_limits = [] { return std::vector<rate_limit_statement>(); };
+    hooks.on_rate_limits = [this](const std::vector<rate_limit_statement>&) { ++loads; };
+    hooks.own_evidence = hooks.all_evidence = [] { return std::vector<part_evidence>(); };
+    hooks.on_evidence = [](const std::vector<part_evidence>&) {};
+    hooks.operators = [] { return operators_view(); };
+    hooks.on_operators = [](const operators_view&) {};
+    return hooks;
+  }
+
+  peer_settings OtherSettings() const {
+    peer_settings other_settings;
+    other_settings.cluster = "waxwingwing-entry";
+    other_settings.own_vm = vm_id("o");
+    other_settings.own_failure_domain = failure_domain_id("ifo");
+    return other_settings;
+  }
+
+  template <typename message_type>
+  bool HasReceived() const {
+    return std::any_of(received.begin(), received.end(), [](const peer_message& message) {
+      return std::holds_alternative<message_type>(message);
+    });
+  }
+
+  boost::asio::io_context context;
+  manual_clock clock;
+  entry_settings settings = Settings();
+  entry_state state;
+  metrics_registry metrics;
+  event_log log{clock, "v", [](std::string_view text) { return text.size(); }};
+  entry_context entry{context, clock, settings, state, log, metrics};
+  http_client http{&metrics};
+  store_client store{http, "127.0.0.1:1", 12};
+  controller_election election{entry, store, "v/p/127.0.0.1:1", random_source(1)};
+  std::size_t loads = 0;
+  controller_link link{entry, election, Hooks()};
+  std::vector<peer_message> received;
+  peer_network other{
+      context, OtherSettings(), random_source(2), metrics,
+      [this](const vm_id&, const peer_message& message) { received.push_back(message); }};
+  std::string link_address;
+  std::string other_address;
+};
+
+// Guards against a crash: a stall was reported to a parent that this VM had no longer, just after
+// the controller had released its lease.
+TEST_CASE("a VM without a parent has no current feed and reports no stall", "[entry]") {
+  link_fixture fixture;
+  const std::string holder = "o/p/" + fixture.other_address;
+  fixture.election.Observe({holder, 5});
+  boost::asio::co_spawn(fixture.context, fixture.link.Run(), boost::asio::detached);
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.HasReceived<vm_load_message>(); }));
+  directory_feed_message feed;
+  feed.lease_holder = holder;
+  feed.lease_end = 5;
+  REQUIRE(fixture.other.Send(vm_id("v"), feed));
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.link.IsFeedCurrent(); }));
+  feed.lease_holder.clear();
+  feed.lease_end = 6;
+  REQUIRE(fixture.other.Send(vm_id("v"), feed));
+  CHECK(RunUntil(fixture.context, [&] { return !fixture.link.IsFeedCurrent(); }));
+  if (!fixture.link.IsFeedCurrent()) CHECK(!fixture.link.ReportStall({"group", "server"}));
+}
+
+}  // namespace
+}  // namespace waxwingwing
