link: only a controller that stops announces the release of its lease

Every VM that stops sent its followers a feed with the requests of its own followers only and without relays, so that the followers of a stopping relay all turned to the controller until the next feed. Change: the announcement is sent only by a VM that has published feeds as the controller. Result: controller_link_test failed before (a feed arrived) and passes.

--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -110,8 +110,7 @@
 }
 
 void controller_link::AnnounceRelease() {
-  const std::uint64_t offset = published_offset_.value_or(0);
-  BroadcastFeed(offset, offset, {});
+  if (published_offset_) BroadcastFeed(*published_offset_, *published_offset_, {});
 }
 
 void controller_link::RemoveFormerFollowers(time_point now) {
@@ -131,7 +130,8 @@
 }
 
 void controller_link::Follow(time_point now) {
-  published_offset_.reset();
+  // A controller that stops still has to announce the release of its lease.
+  if (!entry_.state.stopping) published_offset_.reset();
   relays_.clear();
   parents_.SetController(Controller());
   const bool silent = IsParentSilent(now);
--- a/tests/unit/controller_link_test.cc
+++ b/tests/unit/controller_link_test.cc
@@ -100,5 +100,24 @@
   if (!fixture.link.IsFeedCurrent()) CHECK(!fixture.link.ReportStall({"group", "server"}));
 }
 
+// Guards against feeds with the requests of a part of the VMs and without relays, after which all
+// followers of a relay that stops turned to the controller.
+TEST_CASE("a relay that stops sends no feed of its own", "[entry]") {
+  link_fixture fixture;
+  boost::asio::co_spawn(fixture.context, fixture.link.Run(), boost::asio::detached);
+  fixture.other.SetPeers({{vm_id("v"), fixture.link_address}});
+  vm_load_message load;
+  load.node = {"o", fixture.other_address, "ifo", 1};
+  REQUIRE(RunUntil(fixture.context, [&] {
+    if (fixture.loads == 0) fixture.other.Send(vm_id("v"), load);
+    return fixture.loads > 0;
+  }));
+  fixture.state.stopping = true;
+  fixture.link.AnnounceRelease();
+  const auto until = std::chrono::steady_clock::now() + milliseconds(200);
+  RunUntil(fixture.context, [&] { return std::chrono::steady_clock::now() >= until; });
+  CHECK(!fixture.HasReceived<directory_feed_message>());
+}
+
 }  // namespace
 }  // namespace waxwingwing
