link: check the age of a feed's registrations in one place

Cause: the same limit stood in the link and in the directory's controller; each VM copied each feed to pass it on, also without followers. Change: the link passes on only recent registrations, and copies a feed only for followers.

--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -246,13 +246,16 @@
   parents_.SetRelays(relays);
   RecordReceipts(feed.receipts);
   const operators_view operators = OperatorsOf(feed, now);
-  directory_feed_message passed_on = feed;
-  passed_on.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
-  Broadcast(std::move(passed_on));
+  if (!reports_.empty()) {
+    directory_feed_message passed_on = feed;
+    passed_on.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
+    Broadcast(std::move(passed_on));
+  }
   NotifyOtherRequests(FromMessage(feed.servers), feed.vms);
   hooks_.on_rate_limits(FromMessage(feed.limits, now));
   hooks_.on_operators(operators);
-  hooks_.on_feed(feed);
+  // While the controller cannot read the store, its feeds say nothing new about servers.
+  if (feed.age <= kMaxFeedAge) hooks_.on_feed(feed);
 }
 
 void controller_link::RecordReceipts(const std::vector<load_receipt_message>& receipts) {
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -20,8 +20,6 @@
 constexpr milliseconds kRemovalCheckInterval{300};
 /// Interval at which a VM checks whether the controller still forwards changes to it.
 constexpr milliseconds kFeedCheckInterval{250};
-/// Age of a feed's registrations from which the feed does not confirm them.
-constexpr milliseconds kMaxFeedAge{1200};
 /// Time within which running servers register again after an outage of the store.
 constexpr milliseconds kReregistrationTime{2500};
 /// Time without a successful read after which removals may be an effect of a store outage.
@@ -139,8 +137,6 @@
 }
 
 void directory_controller::OnFeed(const directory_feed_message& feed) {
-  // While the controller cannot read the store, its feeds say nothing new about servers.
-  if (feed.age > kMaxFeedAge) return;
   // When records are missing in between, they must be read from the store.
   if (!offset_ || feed.from > *offset_) {
     has_gap_ = true;
