peer: reject reports and feeds with numbers out of range

Cause: a capacity that is not a number breaks the order in which relays are sorted, an age of 2^63 ms overflows, and a number of VMs of 2^64 - 1 makes every window and relay count absurd: one malformed message could take the controller down. Change: such messages are malformed, which ends the connection only. Result: frame_codec_test failed before and passes.

--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -84,11 +84,22 @@
   return {};
 }
 
+/// Largest number of VMs that a message may state.
+constexpr std::uint64_t kMaxVms = 100000;
+/// Longest age of a confirmation: that of a VM which never had one is the time since its start.
+constexpr milliseconds kMaxConfirmationAge = std::chrono::hours(24 * 365 * 10);
+
+bool HasOddCapacity(const relay_node_message& node) {
+  return !std::isfinite(node.capacity) || node.capacity < 0;
+}
+
 bool IsUnnamed(const relay_node_message& node) { return node.vm.empty() || node.address.empty(); }
 
 std::string InvalidReason(const vm_load_message& message) {
   if (HasEmptyServerName(message.servers)) return "a server load has no server name";
-  if (message.vms == 0) return "a load report is of no VM";
+  if (message.vms == 0 || message.vms > kMaxVms) return "a load report is of no or too many VMs";
+  if (HasOddCapacity(message.node)) return "a capacity is out of range";
+  if (message.successor && HasOddCapacity(*message.successor)) return "a capacity is out of range";
   if (message.successor && IsUnnamed(*message.successor)) return "a relay has no name or address";
   return InvalidReason(message.limits);
 }
@@ -99,7 +110,16 @@
   if (std::any_of(message.relays.begin(), message.relays.end(), IsUnnamed)) {
     return "a relay has no name or address";
   }
-  if (message.operators_age && message.operators_age->count() < 0) return "an age is negative";
+  if (std::any_of(message.relays.begin(), message.relays.end(), HasOddCapacity)) {
+    return "a capacity is out of range";
+  }
+  if (message.vms > kMaxVms) return "a feed is of too many VMs";
+  const auto is_odd = [](const std::optional<milliseconds>& age) {
+    return age && (age->count() < 0 || *age > kMaxConfirmationAge);
+  };
+  if (is_odd(message.operators_age) || is_odd(message.operators_age_bound)) {
+    return "the age of a confirmation is out of range";
+  }
   const bool is_bounded = message.operators_age && message.operators_age_bound;
   if (is_bounded && *message.operators_age_bound < *message.operators_age) {
     return "the bound of an age is below the age";
--- a/tests/unit/frame_codec_test.cc
+++ b/tests/unit/frame_codec_test.cc
@@ -1,6 +1,8 @@
 #include "waxwingwing/peer/frame_codec.h"
 
 #include <catch2/catch.hpp>
+#include <cmath>
+#include <cstdint>
 
 #include "tests/unit/mutation.h"
 
@@ -169,6 +171,30 @@
 }
 
 // Guards against reserving 100 GB for an array whose header declares 2^32 - 1 elements.
+// Guards against a process that one malformed report of another takes down: capacities are sorted,
+// and ages are subtracted from times.
+TEST_CASE("reports with numbers out of range are malformed", "[peer]") {
+  vm_load_message load;
+  load.node = {"n1", "10.0.0.1:7340", "ifo", 0.5};
+  CHECK(InvalidMessageReason(load).empty());
+  for (const double capacity : {std::nan(""), HUGE_VAL, -1.0}) {
+    vm_load_message odd = load;
+    odd.node.capacity = capacity;
+    CHECK(!InvalidMessageReason(odd).empty());
+    odd = load;
+    odd.successor = relay_node_message{"n2", "10.0.0.2:7340", "ifo", capacity};
+    CHECK(!InvalidMessageReason(odd).empty());
+  }
+  load.vms = UINT64_MAX;
+  CHECK(!InvalidMessageReason(load).empty());
+  directory_feed_message feed;
+  feed.vms = UINT64_MAX;
+  CHECK(!InvalidMessageReason(feed).empty());
+  feed = {};
+  feed.operators_age = feed.operators_age_bound = milliseconds(INT64_MAX);
+  CHECK(!InvalidMessageReason(feed).empty());
+}
+
 TEST_CASE("a declared array size reserves no memory", "[peer]") {
   const std::string declared_array("\x01\x02\xdd\xff\xff\xff\xff", 7);
   REQUIRE(DecodeBody(declared_array).error == frame_error::kMalformed);
