election: continue a claim whose answer was lost before it lapses

Cause: a VM whose claim took effect without an answer found its own record, did not hold the lease by its own account, and waited 1.2 s for that record to lapse, as did all others. Change: a record of its own is free to be claimed again by this VM; it acts after the usual wait.

--- a/src/election/controller_lease.cc
+++ b/src/election/controller_lease.cc
@@ -16,8 +16,10 @@
       retry_pause_(options.retry_pause) {}
 
 time_point controller_lease::ClaimAt() const {
-  // A lease that was released, or that nobody has held, is free at once.
-  const duration lifetime = record_.holder.empty() ? duration::zero() : options_.lifetime;
+  // A lease that was released, or that nobody has held, is free at once, and so is that of a claim
+  // of this VM whose answer was lost.
+  const bool is_free = record_.holder.empty() || record_.holder == self_;
+  const duration lifetime = is_free ? duration::zero() : options_.lifetime;
   return std::max(first_seen_ + lifetime, claims_from_) + claim_delay_;
 }
 
--- a/tests/unit/controller_lease_test.cc
+++ b/tests/unit/controller_lease_test.cc
@@ -100,6 +100,16 @@
   }
 }
 
+// Guards against a deployment without a controller while a claim lapses whose answer was lost.
+TEST_CASE("a claim that took effect without an answer is continued before it lapses",
+          "[election]") {
+  controller_lease lease = LeaseThatSaw({"", 0});
+  lease.RecordFailure(kStart + milliseconds(300));
+  lease.Observe({"a", 1}, kStart + milliseconds(400));
+  CHECK(!lease.IsHolder());
+  CHECK(lease.NextAt(kStart + milliseconds(400)) <= kStart + milliseconds(400 + 600 + 100));
+}
+
 // Guards against a controller that changes with each outage of the store.
 TEST_CASE("after an outage the holder renews the lease before others claim it", "[election]") {
   controller_lease lease = LeaseThatSaw({"b", 7});
