relay: a VM that stops is no successor

Cause: a relay whose only followers stop, or are of an earlier version without an address, named one of them as its successor; without an address, its report was malformed and ended the connection. Change: a VM without capacity is no successor. Result: relay_tree_test failed before and passes.

--- a/src/relay/load_report_table.cc
+++ b/src/relay/load_report_table.cc
@@ -63,7 +63,8 @@
       std::max_element(reports_.begin(), reports_.end(), [](const auto& left, const auto& right) {
         return left.second.report.node.capacity < right.second.report.node.capacity;
       });
-  if (best == reports_.end()) return std::nullopt;
+  // A VM that stops states no capacity, and one of an earlier version no address either.
+  if (best == reports_.end() || best->second.report.node.capacity <= 0) return std::nullopt;
   return best->second.report.node;
 }
 
--- a/tests/unit/relay_tree_test.cc
+++ b/tests/unit/relay_tree_test.cc
@@ -92,6 +92,12 @@
   CHECK(right.CountVms(false) <= 2);
 }
 
+TEST_CASE("a VM that stops is no successor", "[relay]") {
+  load_report_table table;
+  table.Record({Node("a1", "a", 0), 1, {}, 1, {}}, kNow);
+  CHECK(!table.Successor());
+}
+
 TEST_CASE("reports expire, and successors are candidates for relays", "[relay]") {
   load_report_table table;
   table.Record({Node("a1", "a", 0.1), 3, {{backend_server_id("s"), 4}}, 7, Node("a9", "a", 0.5)},
