--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -130,7 +130,10 @@
   Apply(*page, false);
   offset_ = page->next;
   // A page holds only a part of many large records; older ones confirm nothing.
-  if (page->next < page->end) co_return true;
+  if (page->next < page->end) {
+    is_behind_ = true;
+    co_return true;
+  }
   // The store returns an empty page only after the full wait, so there was no new record until
   // then.
   const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= wait;
