--- a/review/common/model_runner.cc
+++ b/review/common/model_runner.cc
@@ -36,7 +36,8 @@
       WaitWhileSilent();
       if (IsFirstLeave(request)) {
         if (late_copy_ && !last_answer.empty()) {
-          record_.Write(server_.id + " sends the second copy of an answer");
+          record_.Write(server_.id + " sends the second copy of an answer: " +
+                        last_answer.substr(0, last_answer.find('\r')));
           caller.Write(last_answer);
         }
         WaitWhileSilent();
