platform: only a final status is an answer; interim responses are skipped

Cause: the HTTP parser accepts any three digits as a status and reads one below 200 as a message without a body; no reader of responses looked at the status before it took the message for the answer.

A refusal that takes over the garbled status (outcome would be "refused") and a wait for the garbled answer's body (the caller got a head after 0.6 ms) are ruled out.

Change: one function reads the head of every HTTP response of servers and the store: requests and streams (forward), store, orders and probes (http_client), calls, completions and probes of `serve` (gateway). It skips interim responses, at most eight, and fails on a status outside 200 to 599, a switch of protocols and a body announced for a status that has none. The exchange then counts as broken: repeated where the request may be, otherwise 502. New metric waxwingwing_malformed_responses_total. This works since no other place decides what a response's head is.

--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -1,5 +1,7 @@
 #include "forward/server_exchange.h"
 
+#include <fmt/format.h>
+
 #include <array>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/string.hpp>
@@ -7,6 +9,7 @@
 #include <utility>
 
 #include "waxwingwing/platform/ip_endpoint.h"
+#include "waxwingwing/platform/response_reader.h"
 
 namespace waxwingwing {
 namespace {
@@ -146,15 +149,11 @@
 
 awaitable<bool> server_exchange::ReadHead() {
   for (int skipped_responses = 0; skipped_responses <= kMaxForeignResponses; ++skipped_responses) {
-    parser_.emplace();
-    parser_->header_limit(kMaxResponseHeadBytes);
-    parser_->body_limit(core_.options.max_response_bytes);
-    parser_->skip(plan_.head_only);
-    error_code error;
-    co_await http::async_read_header(connection_->socket, connection_->buffer, *parser_,
-                                     StoreError(error));
-    if (error) {
-      RecordFailure("reading the response head", error);
+    const response_limits limits{kMaxResponseHeadBytes, core_.options.max_response_bytes};
+    const head_result head = co_await ReadResponseHead(connection_->socket, connection_->buffer,
+                                                       parser_, limits, plan_.head_only);
+    if (head.error) {
+      RecordUnreadableHead(head.error);
       co_return false;
     }
     const auto& message = parser_->get();
@@ -182,6 +181,16 @@
   co_return false;
 }
 
+void server_exchange::RecordUnreadableHead(const error_code& error) {
+  if (!IsResponseError(error)) {
+    RecordFailure("reading the response head", error);
+    return;
+  }
+  RecordFailure(fmt::format("response with status {}", parser_->get().result_int()), error);
+  core_.metrics.Counter("waxwingwing_malformed_responses_total", {{"reason", error.message()}})
+      .Increment();
+}
+
 bool server_exchange::IsUnclearRefusal() const {
   const response_metadata& metadata = response_.metadata;
   // Faulty servers repeat the refusal of an earlier request.
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -131,6 +131,7 @@
   /// taken a while.
   bool MaySend();
   awaitable<bool> ReadHead();
+  void RecordUnreadableHead(const error_code& error);
   /// Whether the response is a refusal that may belong to an earlier request on the connection, and
   /// the request must not be taken as "not run" for that reason.
   bool IsUnclearRefusal() const;
--- a/src/gateway/backend_calls.cc
+++ b/src/gateway/backend_calls.cc
@@ -5,12 +5,17 @@
 #include <charconv>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 
 #include "gateway/backend_connection.h"
+#include "waxwingwing/platform/response_reader.h"
 
 namespace waxwingwing {
 namespace {
 
+/// Maximum size of the body of a status report, in bytes.
+constexpr std::uint64_t kMaxAnswerBodyBytes = std::uint64_t{1} << 20U;
+
 template <typename number>
 std::optional<number> ParseNumber(std::string_view text) {
   number value = 0;
@@ -42,7 +47,13 @@
   stream.expires_after(settings.probe_timeout);
   co_await http::async_write(stream, call.request, StoreError(error));
   if (error) co_return error;
-  co_await http::async_read(stream, call.connection.buffer(), call.response, StoreError(error));
+  std::optional<http::response_parser<http::string_body>> parser;
+  const response_limits limits{kMaxAnswerHeadBytes, kMaxAnswerBodyBytes};
+  const head_result head =
+      co_await ReadResponseHead(stream, call.connection.buffer(), parser, limits);
+  if (head.error) co_return head.error;
+  co_await http::async_read(stream, call.connection.buffer(), *parser, StoreError(error));
+  if (!error) call.response = parser->release();
   co_return error;
 }
 
--- a/src/gateway/backend_connection.cc
+++ b/src/gateway/backend_connection.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Bytes; holds the response header and what is read ahead of the body.
-constexpr std::size_t kReadBufferSize = 8192;
+constexpr std::size_t kReadBufferSize = kMaxAnswerHeadBytes;
 
 tcp::endpoint ParseAddress(const std::string& address, error_code& error) {
   const std::size_t colon = address.rfind(':');
--- a/src/gateway/backend_connection.h
+++ b/src/gateway/backend_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "gateway/http_types.h"
@@ -7,6 +8,9 @@
 
 namespace waxwingwing {
 
+/// Maximum size of the status line and headers of a backend server's response, in bytes.
+constexpr std::uint32_t kMaxAnswerHeadBytes = 8192;
+
 /// TCP connection to one backend server for one attempt. Not thread-safe: used on one request
 /// thread.
 class backend_connection {
--- a/src/gateway/engine_attempt.cc
+++ b/src/gateway/engine_attempt.cc
@@ -2,8 +2,10 @@
 
 #include <array>
 #include <chrono>
+#include <optional>
 
 #include "gateway/backend_calls.h"
+#include "waxwingwing/platform/response_reader.h"
 
 namespace waxwingwing {
 namespace {
@@ -80,17 +82,18 @@
   sent_ = true;
   connection_.stream().expires_after(settings.first_byte_timeout);
   error = co_await SendRequest();
-  header_parser parser;
-  parser.body_limit(boost::none);
+  std::optional<header_parser> parser;
   if (!error) {
-    co_await http::async_read_header(connection_.stream(), connection_.buffer(), parser,
-                                     StoreError(error));
+    const response_limits limits{kMaxAnswerHeadBytes, std::nullopt};
+    const head_result head =
+        co_await ReadResponseHead(connection_.stream(), connection_.buffer(), parser, limits);
+    error = head.error;
   }
   if (error) co_return co_await HandleConnectionError(error);
   header_read_ = true;
-  const auto refused = CheckResponse(parser.get().base());
+  const auto refused = CheckResponse(parser->get().base());
   if (refused) co_return *refused;
-  co_return co_await ReadEvents(parser);
+  co_return co_await ReadEvents(*parser);
 }
 
 awaitable<error_code> engine_attempt::SendRequest() {
--- a/src/gateway/service_relay.cc
+++ b/src/gateway/service_relay.cc
@@ -1,9 +1,11 @@
 #include "gateway/service_relay.h"
 
 #include <chrono>
+#include <optional>
 
 #include "gateway/backend_calls.h"
 #include "gateway/placer.h"
+#include "waxwingwing/platform/response_reader.h"
 
 namespace waxwingwing {
 namespace {
@@ -71,19 +73,20 @@
   const service_request request = MakeRequest(context_, view);
   connection.stream().expires_after(settings.first_byte_timeout);
   co_await http::async_write(connection.stream(), request, StoreError(error));
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(settings.max_collected_answer.get());
-  if (request.method() == http::verb::head) parser.skip(true);
+  std::optional<http::response_parser<http::string_body>> parser;
   if (!error) {
-    co_await http::async_read_header(connection.stream(), connection.buffer(), parser,
-                                     StoreError(error));
+    const response_limits limits{kMaxAnswerHeadBytes, settings.max_collected_answer.get()};
+    const head_result head =
+        co_await ReadResponseHead(connection.stream(), connection.buffer(), parser, limits,
+                                  request.method() == http::verb::head);
+    error = head.error;
   }
   if (!error) {
     connection.stream().expires_after(settings.first_byte_timeout);
-    co_await http::async_read(connection.stream(), connection.buffer(), parser, StoreError(error));
+    co_await http::async_read(connection.stream(), connection.buffer(), *parser, StoreError(error));
   }
   if (error) co_return co_await Failed(error, view, true);
-  TakeAnswer(parser.get());
+  TakeAnswer(parser->get());
   co_return call_end{true};
 }
 
--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -10,6 +10,7 @@
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/platform/ip_endpoint.h"
+#include "waxwingwing/platform/response_reader.h"
 
 namespace waxwingwing {
 namespace {
@@ -110,22 +111,18 @@
   if (error) co_return FailedAttempt("sending", error);
 
   beast::flat_buffer buffer(kMaxBufferBytes);
-  http::response_parser<http::string_body> parser;
-  parser.header_limit(kHeaderLimit);
-  parser.body_limit(request.body_limit.get());
-  parser.skip(request.method == "HEAD");
+  std::optional<http::response_parser<http::string_body>> parser;
+  const response_limits limits{kHeaderLimit, request.body_limit.get()};
   // Beast 1.74 loses the body limit error of a header that it parses together with its body, so
   // the header is read separately.
-  std::size_t received = co_await http::async_read_header(
-      stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
-  if (!error) {
-    received += co_await http::async_read(stream, buffer, parser,
-                                          asio::redirect_error(asio::use_awaitable, error));
-  }
-  const bool response_started = parser.got_some() || buffer.size() > 0;
+  const head_result head =
+      co_await ReadResponseHead(stream, buffer, parser, limits, request.method == "HEAD");
+  error = head.error;
+  std::size_t received = head.bytes;
+  if (!error) received += co_await http::async_read(stream, buffer, *parser, StoreError(error));
   if (error) {
     attempt_result failed = FailedAttempt("receiving", error);
-    failed.response_started = response_started;
+    failed.response_started = received > 0 || parser->got_some() || buffer.size() > 0;
     failed.bytes_sent = sent;
     failed.bytes_received = received;
     co_return failed;
@@ -134,8 +131,8 @@
   outcome.response_started = true;
   outcome.bytes_sent = sent;
   outcome.bytes_received = received;
-  outcome.keep_connection = request.reuse_connection && parser.keep_alive() && buffer.size() == 0;
-  outcome.reply = ToHttpReply(parser.release());
+  outcome.keep_connection = request.reuse_connection && parser->keep_alive() && buffer.size() == 0;
+  outcome.reply = ToHttpReply(parser->release());
   co_return outcome;
 }
 
--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -250,6 +250,47 @@
   }
 }
 
+// Guards against passing on a status line that a server has garbled as the answer: as an interim
+// response, after which the caller waits for a final one, or as a status that HTTP does not have.
+TEST_CASE("entry: a status that is not that of a final response is not passed on", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  child_process& head_runner = deployment.Head();
+  for (const std::string line : {"000 OK", "100 OK", "101 OK", "199 OK", "600 OK", "999 OK"}) {
+    INFO(line);
+    const std::string answer = SignedAnswer(line, "text/plain", "whole");
+    deployment.SetFault(deployment.service(), "answer_bytes", answer);
+    const auto once = deployment.Call("POST", "/once/a", {}, "confirm");
+    REQUIRE(once);
+    CHECK(once->status == 502);
+    const auto lookup = deployment.Call("GET", "/lookup/x");
+    REQUIRE(lookup);
+    CHECK((lookup->status == 502 || lookup->status == 503));
+    deployment.SetFault(head_runner, "answer_bytes", answer);
+    const received_stream stream = ReceiveStream(deployment, "garbled-status");
+    CHECK((stream.status == 502 || stream.status == 503));
+  }
+}
+
+// Guards against taking an interim response for the answer, also where it begins a stream.
+TEST_CASE("entry: interim responses are skipped", "[entry]") {
+  entry_deployment deployment({.events = kEvents});
+  deployment.WaitUntilServing();
+  const std::string interim =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+  deployment.SetFault(deployment.service(), "bytes_before", interim);
+  const auto once = CallOnce(deployment, "interim-1");
+  REQUIRE(once);
+  CHECK(once->status == 200);
+  CHECK(once->body == "answer to interim-1");
+  CHECK(deployment.RunsOf("interim-1") == 1);
+  deployment.SetFault(deployment.Head(), "bytes_before", interim);
+  const received_stream stream = ReceiveStream(deployment, "interim-2");
+  CHECK(stream.status == 200);
+  CHECK(stream.body == WholeEvents(kEvents));
+  CHECK(stream.complete);
+}
+
 constexpr std::size_t kCallers = 160;
 /// An entry VM has 260 MB.
 constexpr std::size_t kMemoryLimitKilobytes = std::size_t{130} * 1024;
@@ -298,6 +339,7 @@
     first = "HTTP/1.1 200 OK\r\n";
     endless = "X: y\r\n";
   }
+  SECTION("interim responses") { first = endless = "HTTP/1.1 103 Early Hints\r\n\r\n"; }
   SECTION("a chunk's size") { endless = "0"; }
   SECTION("a chunk's extension") { first += "5;"; }
   SECTION("a chunk") { first += "7fffffff\r\n"; }
--- a/tests/unit/gateway_chat_test.cc
+++ b/tests/unit/gateway_chat_test.cc
@@ -68,6 +68,19 @@
   REQUIRE(WaitFor([&] { return engine.Cancelled() == 2; }));
 }
 
+// Guards against taking an interim response for a refusal and sending the request again, although
+// the engine runs it.
+TEST_CASE("an engine's interim response is skipped", "[gateway]") {
+  fake_backend engine;
+  gateway_fixture fixture;
+  fixture.AddBackend("vm-1", engine.address());
+  fixture.Start();
+  engine.SetBehaviours({call_behaviour::kInterimFirst});
+  const auto response = fixture.Post(kChat, ChatBody(12, true));
+  CHECK(StreamText(response.body()) == CompleteText(12) + "<done>");
+  CHECK(engine.Calls().size() == 1);
+}
+
 TEST_CASE("a stream that cannot be completed ends with an error event", "[gateway]") {
   fake_backend engine;
   gateway_fixture fixture;
--- a/tests/unit/gateway_service_test.cc
+++ b/tests/unit/gateway_service_test.cc
@@ -45,6 +45,22 @@
   REQUIRE(service.Calls().size() == 2);
 }
 
+// Guards against passing on an interim response, or a garbled status, as a service's answer.
+TEST_CASE("a service's answer is its final response", "[gateway]") {
+  fake_backend service;
+  gateway_fixture fixture;
+  fixture.AddBackend("vm-1", service.address());
+  fixture.Start();
+  service.SetBehaviours({call_behaviour::kInterimFirst});
+  const auto answered = fixture.Post(kEcho, "a");
+  CHECK(answered.result_int() == 200);
+  CHECK(answered.body() == "/v1/say?x=1 a");
+  CHECK(service.Calls().size() == 1);
+  service.SetBehaviours({call_behaviour::kStatusBelow200});
+  CHECK(fixture.Post(kEcho, "b").result_int() == 200);
+  CHECK(service.Calls().size() == 3);
+}
+
 TEST_CASE("a call that must not run twice needs an idempotency key", "[gateway]") {
   fake_backend service;
   gateway_fixture fixture;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -123,6 +123,55 @@
   CHECK(exchange.reply.reason().find("buffer overflow") != std::string::npos);
 }
 
+// Guards against taking an interim response for the answer, after which the answer itself would be
+// taken for that to the next request on the connection.
+TEST_CASE("interim responses are skipped and the connection stays in step", "[platform]") {
+  http_fixture test;
+  const std::string interim =
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n";
+  test.server.Add({.body = "1", .bytes_before = interim});
+  test.server.Add({.body = "2"});
+  const http_exchange first = test.Run("POST");
+  REQUIRE(first.reply);
+  CHECK(first.reply->status == 200);
+  CHECK(first.reply->body == "1");
+  const http_exchange second = test.Run("POST");
+  REQUIRE(second.reply);
+  CHECK(second.reply->body == "2");
+  CHECK(test.server.connections() == 1);
+}
+
+// Guards against acting on a garbled status line as if it were the server's decision.
+TEST_CASE("an answer whose status is not that of a final response fails", "[platform]") {
+  http_fixture test;
+  const std::string empty = "Content-Length: 0\r\n\r\n";
+  const std::string line = GENERATE("000 OK", "099 OK", "100 OK", "101 Switching Protocols",
+                                    "199 OK", "600 OK", "999 OK");
+  INFO(line);
+  test.server.Add({.raw_answer = "HTTP/1.1 " + line + "\r\n" + empty});
+  const http_exchange exchange = test.Run("POST", milliseconds(1000));
+  REQUIRE_FALSE(exchange.reply);
+  INFO(exchange.reply.reason());
+  CHECK(exchange.reply.reason().find("receiving") != std::string::npos);
+  // The connection is not used again.
+  test.server.Add({.body = "2"});
+  const http_exchange next = test.Run("POST");
+  REQUIRE(next.reply);
+  CHECK(next.reply->body == "2");
+  CHECK(test.server.connections() == 2);
+}
+
+// Guards against waiting for the final response as long as interim ones keep coming.
+TEST_CASE("interim responses without end fail the exchange before the time-out", "[platform]") {
+  http_fixture test;
+  std::string many;
+  for (int i = 0; i < 1000; ++i) many += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  test.server.Add({.raw_answer = many});
+  const http_exchange exchange = test.Run("GET", milliseconds(1000));
+  REQUIRE_FALSE(exchange.reply);
+  CHECK(exchange.reply.reason().find("too many interim responses") != std::string::npos);
+}
+
 // Guards against capacity figures that omit the header of a message or a second exchange.
 TEST_CASE("the bytes of every exchange are counted by service", "[platform]") {
   http_fixture test;
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -6,6 +6,7 @@
 
 #include "platform/base64.h"
 #include "platform/header_codec.h"
+#include "platform/order_client.h"
 #include "platform/record_decoder.h"
 #include "platform/settings_file.h"
 #include "platform/store_client.h"
@@ -141,6 +142,33 @@
   CHECK(page->records.back().value == "hello");
 }
 
+// Guards against taking an interim response for the outcome of an order, and the order's own answer
+// for the report that was requested next.
+TEST_CASE("an order's outcome is that of its final answer", "[platform]") {
+  boost::asio::io_context context;
+  scripted_http_server server(context);
+  metrics_registry metrics;
+  http_client http(&metrics);
+  order_client orders(http);
+  formation_order leave;
+  leave.action = formation_action::kLeave;
+  leave.address = server.address();
+  server.Add({.status = 409, .bytes_before = "HTTP/1.1 102 Processing\r\n\r\n"});
+  const auto outcome = [&](const formation_order& order) {
+    return RunAwaitable(context, orders.Send(order, milliseconds(1000))).outcome;
+  };
+  CHECK(outcome(leave) == order_outcome::kConflict);
+  formation_order probe = leave;
+  probe.action = formation_action::kProbe;
+  server.Add({.body = R"({"stage":"both","models":[]})"});
+  CHECK(outcome(probe) == order_outcome::kAccepted);
+  // Neither status says that the server has carried out the order, or that it will not.
+  for (const std::string status : {"100 OK", "000 OK"}) {
+    server.Add({.raw_answer = "HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n"});
+    CHECK(outcome(leave) == order_outcome::kNoAnswer);
+  }
+}
+
 TEST_CASE("requests of a route of unknown type run at most once", "[platform]") {
   json record = ConfigurationRecord();
   record["routes"][0]["type"] = "new_type";
--- a/tests/unit/scripted_http_server.h
+++ b/tests/unit/scripted_http_server.h
@@ -37,6 +37,10 @@
     /// Written as they are instead of an answer and followed by `kEndlessBytes` zeros; the
     /// connection then stays open.
     std::string endless_bytes = {};
+    /// Written as they are in front of the answer.
+    std::string bytes_before = {};
+    /// Written as they are instead of an answer.
+    std::string raw_answer = {};
   };
   /// Size of what is sent where the client should not wait for its end.
   static constexpr std::size_t kEndlessBytes = std::size_t{32} << 20U;
@@ -102,6 +106,12 @@
       if (next.stay_silent) silent_.push_back(peer);
       if (next.stay_silent) co_return;
 
+      const std::string raw = next.bytes_before + next.raw_answer;
+      co_await boost::asio::async_write(
+          *peer, boost::asio::buffer(raw),
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      if (!next.raw_answer.empty()) continue;
+
       http::response<http::string_body> response;
       response.result(next.status);
       response.body() = next.body;
--- a/tests/unit/support/fake_backend.cc
+++ b/tests/unit/support/fake_backend.cc
@@ -126,6 +126,17 @@
   const call_behaviour kind = TakeBehaviour();
   lock.unlock();
   if (kind == call_behaviour::kNoAnswer) return;
+  error_code ignored;
+  if (kind == call_behaviour::kStatusBelow200) {
+    const std::string answer = "HTTP/1.1 100 OK\r\nContent-Length: 0\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(answer), ignored);
+    WaitForClose(socket);
+    return;
+  }
+  if (kind == call_behaviour::kInterimFirst) {
+    const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(interim), ignored);
+  }
   if (kind == call_behaviour::kConflict) {
     Write(socket, http::status::conflict, "{}");
   } else if (request.target() == "/v1/chat/completions") {
@@ -156,14 +167,11 @@
   const std::uint64_t first = std::stoull(std::string(request["X-Resume-Offset"]));
   const auto count = body.at("max_tokens").get<std::uint64_t>();
   for (std::uint64_t index = first; index < count; ++index) {
-    const bool fault =
-        kind != call_behaviour::kAnswerCompletely && index >= first + kTokensBeforeFault;
+    const bool fault = kind != call_behaviour::kAnswerCompletely &&
+                       kind != call_behaviour::kInterimFirst && index >= first + kTokensBeforeFault;
     if (fault && kind == call_behaviour::kBreakStream) return false;
     if (fault && kind == call_behaviour::kStall) {
-      char byte = 0;
-      error_code error;
-      // Returns when the gateway closes the connection.
-      socket.read_some(boost::asio::buffer(&byte, 1), error);
+      WaitForClose(socket);
       return false;
     }
     const bool foreign = fault && kind == call_behaviour::kWrongIds;
@@ -173,6 +181,12 @@
   return true;
 }
 
+void fake_backend::WaitForClose(tcp::socket& socket) {
+  char byte = 0;
+  error_code ignored;
+  socket.read_some(boost::asio::buffer(&byte, 1), ignored);
+}
+
 void fake_backend::Write(tcp::socket& socket, http::status status, const std::string& body) {
   text_response response(status, 11);
   response.set(http::field::content_type, "text/plain");
--- a/tests/unit/support/fake_backend.h
+++ b/tests/unit/support/fake_backend.h
@@ -29,6 +29,10 @@
   /// Reads the request and closes the connection without an answer.
   kNoAnswer,
   kConflict,
+  /// Sends an interim response in front of the complete answer.
+  kInterimFirst,
+  /// Answers with a status below 200 and a body, and keeps the connection open.
+  kStatusBelow200,
 };
 
 /// Fake backend server on loopback: streams `t0 t1 ...` as an engine, echoes the body as a service.
@@ -59,6 +63,7 @@
   void Stream(tcp::socket& socket, const text_request& request, call_behaviour kind);
   bool StreamTokens(tcp::socket& socket, const text_request& request, call_behaviour kind);
   static void Write(tcp::socket& socket, http::status status, const std::string& body);
+  static void WaitForClose(tcp::socket& socket);
 
   boost::asio::io_context context_;
   tcp::acceptor acceptor_;
