--- a/include/waxwingwing/platform/response_reader.h
+++ b/include/waxwingwing/platform/response_reader.h
@@ -25,6 +25,7 @@
   kUnexpectedBody,
   /// More interim responses than are skipped.
   kTooManyInterimResponses,
+  /// More header fields than `kMaxResponseFields`.
   kTooManyFields,
 };
 
