tests: a process gets no address twice

Seen: a test stage on the code before this had 494 passed and 1 failed: "entry: an answer that ends within its head is not passed on as one" ended with "cannot listen: 127.0.0.1:24238: Address already in use".

Cause: the harness draws ports at random and does not remember those that it has given out but that nothing listens on yet. The settings of that run have 24238 for callers and for readiness checks. Change: addresses are drawn in a file of their own, and none twice in a process. Result: the new test of 1,000 addresses failed with the check taken out (29 drawn twice) and passes. The failed test passed three times alone before. Two test processes that draw the same port at the same moment are still possible.

--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -1,18 +1,14 @@
 #include "tests/integration/entry_deployment.h"
 
-#include <arpa/inet.h>
 #include <fmt/format.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <atomic>
 #include <fstream>
 #include <stdexcept>
 
+#include "tests/integration/free_address.h"
 #include "tests/integration/wait_for.h"
-#include "waxwingwing/core/random_source.h"
 
 namespace waxwingwing::integration {
 namespace {
@@ -20,28 +16,6 @@
 constexpr milliseconds kServingLimit{15000};
 constexpr const char* kKey = "key-of-first-organisation";
 
-/// A port of loopback that is free at this moment. It lies below the ports that the system gives to
-/// outgoing connections, one of which could otherwise take it before the entry VM listens.
-std::string FreeAddress() {
-  constexpr std::uint16_t first_port = 16000;
-  constexpr std::uint64_t ports = 16000;
-  constexpr int attempts = 100;
-  static random_source random = random_source::FromDevice();
-  for (int attempt = 0; attempt < attempts; ++attempt) {
-    const auto port = static_cast<std::uint16_t>(first_port + random.Below(ports));
-    const int handle = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_port = htons(port);
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    auto* generic = reinterpret_cast<sockaddr*>(&address);  // NOLINT
-    const bool bound = ::bind(handle, generic, sizeof address) == 0;
-    ::close(handle);
-    if (bound) return "127.0.0.1:" + std::to_string(port);
-  }
-  throw std::runtime_error("no free port");
-}
-
 std::string NextRequestId() {
   static std::atomic<std::uint64_t> next{1};
   return "request-" + std::to_string(next++);
--- a/tests/integration/harness_test.cc
+++ b/tests/integration/harness_test.cc
@@ -1,11 +1,13 @@
 // Tests of the harness: processes end with their owner, and the invariants find what they are for.
 #include <catch2/catch.hpp>
 #include <fstream>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "tests/integration/deployment.h"
 #include "tests/integration/event_stream.h"
+#include "tests/integration/free_address.h"
 #include "tests/integration/invariants.h"
 #include "tests/integration/wait_for.h"
 
@@ -108,6 +110,12 @@
   REQUIRE(WaitFor([&] { return !Runs(pid); }, kBound));
 }
 
+// Guards against giving one entry VM the same port for two of its listeners.
+TEST_CASE("a process gets no address twice", "[harness]") {
+  std::set<std::string> addresses;
+  for (int i = 0; i < 1000; ++i) CHECK(addresses.insert(FreeAddress()).second);
+}
+
 TEST_CASE("a program that does not start is reported with its name", "[harness]") {
   platform_processes processes;
   const auto unknown = processes.StartStandIn("no_such_kind", "unknown");
