forward: log refusals of servers with the connection that carried them

The logs had no line for a single refusal of a server, and named neither the address nor the connection, so that a request that returns to an address under another id could not be told from a caller that comes again with the same id (docs/incidents/twice-copied-refusals.md).

Change: a connection remembers which requests were refused on it. Event request_refused_by_server, for requests that may run once: server, address, status, whether the answer stated the id, whether the connection was used before, and whether the same request was refused on it before. No decision changes.

--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -81,7 +81,10 @@
                       abort_reason_ == exchange_abort::kFirstLimit;
   load.RequestEnded(response_started_, failed, core_.Now());
   core_.exchanges.erase(this);
-  if (end == exchange_outcome::kComplete) Finish();
+  if (end == exchange_outcome::kComplete) {
+    if (IsRefused()) RecordRefusal();
+    Finish();
+  }
   connection_.reset();
   core_.WakeWaiting();
   co_return end;
@@ -192,10 +195,28 @@
 }
 
 bool server_exchange::IsUnclearRefusal() const {
-  const response_metadata& metadata = response_.metadata;
   // Faulty servers repeat the refusal of an earlier request.
-  return plan_.at_most_once && connection_->reused && metadata.id.empty() &&
-         (metadata.not_executed || metadata.wrong_server);
+  return plan_.at_most_once && connection_->reused && response_.metadata.id.empty() && IsRefused();
+}
+
+bool server_exchange::IsRefused() const {
+  return response_.metadata.not_executed || response_.metadata.wrong_server;
+}
+
+void server_exchange::RecordRefusal() {
+  // Other requests do not depend on the refusal being their own.
+  if (plan_.at_most_once) {
+    core_.log.Write("request_refused_by_server",
+                    {{"request", plan_.id.str()},
+                     {"server", plan_.target.server.str()},
+                     {"address", plan_.target.address},
+                     {"status", response_.status},
+                     {"id_stated", !response_.metadata.id.empty()},
+                     {"connection_reused", connection_->reused},
+                     {"refused_before", connection_->refused.Contains(plan_.id)}},
+                    event_log::importance::kRoutine);
+  }
+  connection_->refused.Add(plan_.id);
 }
 
 awaitable<bool> server_exchange::SkipBody() {
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -145,6 +145,9 @@
   /// Whether the wait for the first event is due to a fault of the server rather than to its queue.
   bool IsStuck(time_point now, const server_load& load) const;
   exchange_outcome RecordFailure(std::string_view step, const error_code& error);
+  /// Whether the server stated that it has not run the request.
+  bool IsRefused() const;
+  void RecordRefusal();
   void Finish();
 
   forward_core& core_;
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 
+#include "forward/refused_requests.h"
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/forward/forward_options.h"
 #include "waxwingwing/platform/coroutine.h"
@@ -28,6 +29,7 @@
   boost::beast::flat_buffer buffer;
   /// Whether a request was sent on this connection before.
   bool reused = false;
+  refused_requests refused;
   /// Time until which the idle connection may be reused.
   time_point usable_until{};
 };
