tests: show that the copy of a refusal is taken for a later attempt's outcome

A server that repeats a refusal, with the id of the request that it refused, makes the next attempt of that request on the same connection count as refused although it runs.

Change: the model runner stand-in can write each refusal once more in front of the next answer on its connection (copy_refusals). Two tests: the caller comes again with the same id, and two registrations name one address.

--- a/stand_ins/http_exchange.cc
+++ b/stand_ins/http_exchange.cc
@@ -25,8 +25,8 @@
 
 }  // namespace
 
-http_exchange::http_exchange(tcp::socket& socket, http_request request)
-    : socket_(socket), request_(std::move(request)) {
+http_exchange::http_exchange(tcp::socket& socket, http_request request, std::string& late_bytes)
+    : socket_(socket), request_(std::move(request)), late_bytes_(late_bytes) {
   const std::string target(request_.target());
   const std::size_t query_start = std::min(target.find('?'), target.size());
   path_ = target.substr(0, query_start);
--- a/stand_ins/http_exchange.h
+++ b/stand_ins/http_exchange.h
@@ -25,7 +25,8 @@
 /// Functions that write return false when the connection failed.
 class http_exchange {
  public:
-  http_exchange(tcp::socket& socket, http_request request);
+  /// `late_bytes` belongs to the connection and holds what a fault writes on it later.
+  http_exchange(tcp::socket& socket, http_request request, std::string& late_bytes);
   http_exchange(const http_exchange&) = delete;
   http_exchange& operator=(const http_exchange&) = delete;
 
@@ -52,6 +53,8 @@
   awaitable<bool> EndChunks();
   /// Writes bytes as they are, whether or not they are a response.
   awaitable<bool> WriteBytes(std::string data);
+  /// Bytes to be written in front of the answer to a later request on this connection.
+  std::string& late_bytes() { return late_bytes_; }
 
   /// Closes the connection; pending writes fail.
   void Close();
@@ -63,6 +66,7 @@
  private:
   tcp::socket& socket_;
   http_request request_;
+  std::string& late_bytes_;
   std::string path_;
   std::map<std::string, std::string> query_;
   bool answered_ = false;
--- a/stand_ins/http_server.cc
+++ b/stand_ins/http_server.cc
@@ -38,6 +38,7 @@
 
 awaitable<void> http_server::Serve(tcp::socket socket) {
   boost::beast::flat_buffer buffer;
+  std::string late_bytes;
   for (;;) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(kMaxBodyBytes);
@@ -45,7 +46,7 @@
     co_await http::async_read(socket, buffer, parser,
                               asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return;
-    http_exchange exchange(socket, parser.release());
+    http_exchange exchange(socket, parser.release(), late_bytes);
     co_await ServeOne(exchange);
     if (!socket.is_open() || !exchange.request().keep_alive()) co_return;
   }
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -37,6 +37,12 @@
   return text;
 }
 
+std::string CopyOfRefusal(unsigned status, const header_list& headers) {
+  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " Refused\r\n";
+  for (const auto& [name, value] : headers) bytes += name + ": " + value + "\r\n";
+  return bytes + "Content-Length: 2\r\n\r\n{}";
+}
+
 /// Encodes a keyed record for an append to the store: length (4 bytes, big-endian), key length (1
 /// byte), key and value.
 std::string KeyedRecord(const std::string& key, const std::string& value) {
@@ -133,8 +139,10 @@
     *text->second = value.get<std::string>();
     return true;
   }
-  const std::map<std::string, bool*> flags = {
-      {"stall", &stall_}, {"drain", &draining_}, {"leaving", &leaving_}};
+  const std::map<std::string, bool*> flags = {{"stall", &stall_},
+                                              {"drain", &draining_},
+                                              {"leaving", &leaving_},
+                                              {"copy_refusals", &copy_refusals_}};
   const auto flag = flags.find(name);
   if (flag == flags.end()) return stand_in::SetFault(name, value);
   *flag->second = value.get<bool>();
@@ -177,6 +185,12 @@
   }
 }
 
+awaitable<void> model_runner::WriteLateBytes(http_exchange& exchange) {
+  if (exchange.late_bytes().empty()) co_return;
+  std::string written = std::exchange(exchange.late_bytes(), {});
+  co_await exchange.WriteBytes(std::move(written));
+}
+
 awaitable<void> model_runner::WriteOnce(http_exchange& exchange, std::string& bytes) {
   if (bytes.empty()) co_return;
   std::string written = WithId(std::exchange(bytes, {}), exchange.Header("Request-Id"));
@@ -265,6 +279,8 @@
                          {"Request-Id", exchange.Header("Request-Id")}};
   if (status == 503 && !retry_after_.empty()) headers.emplace_back("Retry-After", retry_after_);
   AddNotices(headers);
+  co_await WriteLateBytes(exchange);
+  if (copy_refusals_) exchange.late_bytes() = CopyOfRefusal(status, headers);
   co_await exchange.AnswerText(status, "{}", std::move(headers));
 }
 
@@ -291,6 +307,7 @@
                                                  {"after", exchange.Header("Last-Event-Id")},
                                                  {"body", exchange.request().body()}});
   co_await WriteOnce(exchange, bytes_before_);
+  co_await WriteLateBytes(exchange);
   if (FLAGS_streams) {
     co_await Stream(exchange, run);
     co_return;
--- a/stand_ins/model_runner.h
+++ b/stand_ins/model_runner.h
@@ -23,7 +23,9 @@
 /// request whose prompt has this part), `advertise` (text: registers under this address, that of a
 /// proxy), `leaving` (bool: states in each answer that it is leaving, and registers as before),
 /// `retry_after` (text: value of that header in each refusal; empty: none), `rate_limit` (text: the
-/// requests a second that each answer states as the runner's limit; empty: none).
+/// requests a second that each answer states as the runner's limit; empty: none),
+/// `copy_refusals` (bool: each refusal is written once more, on the same connection, in front of
+/// the answer to the next request).
 ///
 /// Faults that write raw bytes, in which `{id}` stands for the request's id: `bytes_before` (text:
 /// written once, in front of the answer to the next request that runs), `bytes_after` (text:
@@ -59,6 +61,8 @@
   awaitable<void> Reject(http_exchange& exchange, unsigned status);
   /// Answers the request by the bytes of `answer_bytes` and `endless_bytes`.
   awaitable<void> AnswerRaw(http_exchange& exchange);
+  /// Writes the copy of a refusal that is due on the connection.
+  awaitable<void> WriteLateBytes(http_exchange& exchange);
   /// Writes the bytes of a fault that applies once and clears it.
   awaitable<void> WriteOnce(http_exchange& exchange, std::string& bytes);
   awaitable<void> FinishJoin(std::uint64_t epoch);
@@ -79,6 +83,7 @@
   bool stall_ = false;
   bool draining_ = false;
   bool leaving_ = false;
+  bool copy_refusals_ = false;
   std::uint64_t break_after_ = 0;
   std::uint64_t reject_ = 0;
   std::uint64_t extra_ = 0;
--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -6,6 +6,7 @@
 #include <future>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "tests/integration/entry_deployment.h"
@@ -64,6 +65,68 @@
   CHECK(deployment.RunsOf(id) == 1);
 }
 
+// Guards against taking the copy of a refusal for the outcome of the same request's next attempt,
+// when its caller sends it again and it takes the connection on which it was refused.
+TEST_CASE("entry: the copy of a refusal is no answer to the request's next attempt", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  KeepConnections(deployment);
+  deployment.SetFault(deployment.service(), "copy_refusals", true);
+  deployment.SetFault(deployment.service(), "reject", 1);
+  const std::string id = "again-1";
+  for (int i = 0; i < 100 && deployment.RunsOf(id) == 0; ++i) {
+    const auto answer = CallOnce(deployment, id);
+    REQUIRE(answer);
+    CHECK((answer->status == 503) == (deployment.RunsOf(id) == 0));
+    if (answer->status == 200) CHECK(answer->body == "answer to " + id);
+  }
+  CHECK(deployment.RunsOf(id) == 1);
+}
+
+/// Registers a server of the plain service that is gone and whose address another one has now.
+void RegisterFormerServer(entry_deployment& deployment, const std::string& id) {
+  const nlohmann::json entry = {{"service", "desk"},
+                                {"addr", deployment.service().Address()},
+                                {"zone", "ifo"},
+                                {"version", "v1"},
+                                {"slots", 4},
+                                {"state", "ready"},
+                                {"cold_left_ms", 0},
+                                {"domain", ""},
+                                {"staged", nlohmann::json::array()},
+                                {"born", 1},
+                                {"seq", 1},
+                                {"models", nlohmann::json::array()}};
+  deployment.WriteRegistration(id, entry.dump());
+}
+
+// Guards against taking the copy of a refusal for the outcome of the same request's next send, when
+// two registrations name one address, so that the request returns to the server that refused it.
+TEST_CASE("entry: the copy of a refusal is no answer when an address is listed under two ids",
+          "[entry]") {
+  entry_deployment deployment({.services = 2});
+  deployment.WaitUntilServing();
+  KeepConnections(deployment);
+  for (const auto& service : deployment.services()) {
+    deployment.SetFault(*service, "copy_refusals", true);
+  }
+  std::size_t moved = 0;
+  for (int i = 0; i < 60 && moved < 5; ++i) {
+    const std::string id = "moved-" + std::to_string(i);
+    RegisterFormerServer(deployment, "former-" + std::to_string(i));
+    std::this_thread::sleep_for(milliseconds(100));
+    const auto answer = CallOnce(deployment, id);
+    REQUIRE(answer);
+    CHECK((answer->status == 503) == (deployment.RunsOf(id) == 0));
+    CHECK(deployment.RunsOf(id) <= 1);
+    if (answer->status == 200) CHECK(answer->body == "answer to " + id);
+    const auto refusals = deployment.LogLines("request_refused_by_server");
+    moved = static_cast<std::size_t>(std::count_if(
+        refusals.begin(), refusals.end(), [](const auto& line) { return line["status"] == 421; }));
+  }
+  CHECK(moved >= 5);
+}
+
 // Guards against calling a request "not run", or running it at a second server, because of an
 // earlier request's refusal that the server repeats without its id.
 TEST_CASE("entry: a refusal without an id on a kept connection does not mean that a call never ran",
