forward: send a request on no connection on which it was refused before

What callers saw: requests that may run once ran twice (TWICE), or ran after their callers had been told 503, which says that they never do (REFUSED).

Cause: a server may write a refusal a second time where the answer to a later request is due. The copy has the id of the refused request, so that ReadHead took it as the answer when that request was under way again on the same connection. That happens in two ways: the address of a server that is gone is given to another one while both are registered, and the request returns to the address under the second id; or the caller comes again with the same id.

Class: an id identifies an answer only where it has been refused at most once.

Change: the pool hands out no connection on which the request was refused before, whatever its kind.

Ruled out, with the cost in new connections: to keep no connection that carried a refusal (a new one for each refusal), and to count a refusal on any used connection as "may have run" (502 in place of a retry for nearly all of them).

--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -96,7 +96,7 @@
 
 awaitable<bool> server_exchange::Connect() {
   if (abort_reason_ != exchange_abort::kNone) co_return false;
-  connection_ = core_.pool.Take(plan_.target.address, started_at_);
+  connection_ = core_.pool.Take(plan_.target.address, plan_.id, started_at_);
   if (connection_) co_return true;
   const auto endpoint = ParseIpEndpoint(plan_.target.address);
   if (!endpoint) {
--- a/src/forward/server_pool.cc
+++ b/src/forward/server_pool.cc
@@ -17,13 +17,16 @@
 
 }  // namespace
 
-std::unique_ptr<server_connection> server_pool::Take(const std::string& address, time_point now) {
+std::unique_ptr<server_connection> server_pool::Take(const std::string& address,
+                                                     const request_id& request, time_point now) {
   const auto found = idle_.find(address);
   if (found == idle_.end()) return nullptr;
   auto& connections = found->second;
-  while (!connections.empty()) {
-    std::unique_ptr<server_connection> newest = std::move(connections.back());
-    connections.pop_back();
+  for (std::size_t i = connections.size(); i > 0; --i) {
+    const auto place = connections.begin() + static_cast<std::ptrdiff_t>(i - 1);
+    if ((*place)->refused.Contains(request)) continue;
+    std::unique_ptr<server_connection> newest = std::move(*place);
+    connections.erase(place);
     if (now >= newest->usable_until || !IsOpenAndQuiet(*newest)) continue;
     newest->reused = true;
     return newest;
@@ -34,7 +37,7 @@
 void server_pool::Keep(const std::string& address, std::unique_ptr<server_connection> connection,
                        std::optional<milliseconds> idle_limit, time_point now) {
   const milliseconds limit = idle_limit.value_or(options_.idle_connection_limit);
-  if (limit <= options_.idle_margin) return;
+  if (limit <= options_.idle_margin || connection->refused.IsFull()) return;
   connection->usable_until = now + (limit - options_.idle_margin);
   auto& connections = idle_[address];
   connections.push_back(std::move(connection));
--- a/src/forward/server_pool.h
+++ b/src/forward/server_pool.h
@@ -40,10 +40,13 @@
  public:
   explicit server_pool(const forward_options& options) : options_(options) {}
 
-  /// Takes an idle connection that is still open out of the pool; null when there is none.
-  std::unique_ptr<server_connection> Take(const std::string& address, time_point now);
-  /// Returns a connection to the pool after a response was read completely. `idle_limit` is the
-  /// server's own limit, if it states one.
+  /// Takes an idle connection that is still open out of the pool; null when there is none. Skips
+  /// those on which the server has refused `request` before: only on others does the id in an
+  /// answer show that it belongs to the request's next attempt.
+  std::unique_ptr<server_connection> Take(const std::string& address, const request_id& request,
+                                          time_point now);
+  /// Returns a connection to the pool after a response was read completely; closes one that cannot
+  /// remember further refusals. `idle_limit` is the server's own limit, if it states one.
   void Keep(const std::string& address, std::unique_ptr<server_connection> connection,
             std::optional<milliseconds> idle_limit, time_point now);
   /// Closes all idle connections to the address of an unreachable server.
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -1,5 +1,7 @@
 #include "stand_ins/model_runner.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
@@ -38,8 +40,8 @@
 }
 
 std::string CopyOfRefusal(unsigned status, const header_list& headers) {
-  std::string bytes = "HTTP/1.1 " + std::to_string(status) + " Refused\r\n";
-  for (const auto& [name, value] : headers) bytes += name + ": " + value + "\r\n";
+  std::string bytes = fmt::format("HTTP/1.1 {} Refused\r\n", status);
+  for (const auto& [name, value] : headers) bytes += fmt::format("{}: {}\r\n", name, value);
   return bytes + "Content-Length: 2\r\n\r\n{}";
 }
 
