platform: read which era of the store an answer belongs to

Cause: after a restore the store gives out offsets again that it had given out before, and says so by an era in each answer that nothing read.

Log line store_era and gauge waxwingwing_store_era. The store stand-in keeps a copy and goes back to it (save_copy, restore), and answers 410 for offsets beyond its end. No decision changes.

--- a/include/waxwingwing/election/controller_lease.h
+++ b/include/waxwingwing/election/controller_lease.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/store_position.h"
 #include "waxwingwing/core/units.h"
 
 namespace waxwingwing {
@@ -36,6 +37,8 @@
   /// Offset after the newest record. It changes with each renewal, and a record is appended only
   /// if nothing was appended since.
   std::uint64_t end = 0;
+  /// Era of the offset.
+  store_era era{};
 
   bool operator==(const lease_record&) const = default;
 };
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -84,6 +84,10 @@
         signals_(context_, SIGTERM, SIGINT, SIGHUP) {}
 
   int Run() {
+    store_.SetEraHook([this](store_era era) {
+      log_.Write("store_era", {{"era", era.get()}});
+      metrics_.Gauge("waxwingwing_store_era").Set(static_cast<std::int64_t>(era.get()));
+    });
     for (const auto& started : {readiness_server_.Start(settings_.readiness_address),
                                 forwarder_.Start(settings_.caller_address)}) {
       if (started) continue;
--- a/stand_ins/http_exchange.cc
+++ b/stand_ins/http_exchange.cc
@@ -49,6 +49,10 @@
   return found == query_.end() ? std::string() : found->second;
 }
 
+void http_exchange::AddHeader(std::string name, std::string value) {
+  common_headers_.emplace_back(std::move(name), std::move(value));
+}
+
 awaitable<bool> http_exchange::Answer(unsigned status, const json& body) {
   header_list headers;
   co_return co_await AnswerText(status, body.dump(), std::move(headers));
@@ -60,6 +64,7 @@
   response.version(11);
   response.result(status);
   response.set(http::field::content_type, "application/json");
+  for (const auto& [name, value] : common_headers_) response.set(name, value);
   for (const auto& [name, value] : headers) response.set(name, value);
   response.keep_alive(request_.keep_alive());
   response.body() = std::move(body);
--- a/stand_ins/http_exchange.h
+++ b/stand_ins/http_exchange.h
@@ -43,6 +43,8 @@
   /// Parses the request body as JSON; throws nlohmann::json::exception.
   json Body() const { return json::parse(request_.body()); }
 
+  /// Adds a header to the complete responses to this request.
+  void AddHeader(std::string name, std::string value);
   /// Sends a complete JSON response.
   awaitable<bool> Answer(unsigned status, const json& body);
   awaitable<bool> AnswerText(unsigned status, std::string body, header_list headers);
@@ -69,6 +71,7 @@
   std::string& late_bytes_;
   std::string path_;
   std::map<std::string, std::string> query_;
+  header_list common_headers_;
   bool answered_ = false;
 };
 
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -14,6 +14,7 @@
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kOffsetBytes = 8;
 constexpr const char* kServers = "keyed.servers";
+constexpr const char* kEraHeader = "Store-Era";
 /// Three heartbeat intervals of the model runner stand-in.
 constexpr std::int64_t kRegistrationLifetimeUs = 900'000;
 
@@ -55,6 +56,8 @@
       {"/v1/log-newest", &platform_store::Newest}, {"/v1/log-join", &platform_store::Join},
       {"/v1/log-owners", &platform_store::Owners}, {"/v1/log-leave", &platform_store::Leave}};
   const auto found = kHandlers.find(exchange.path());
+  // A read may wait while the store is restored, so that its answer states the era of its end.
+  if (exchange.path() != "/v1/log-read") exchange.AddHeader(kEraHeader, std::to_string(era_));
   if (found == kHandlers.end()) {
     co_await exchange.Answer(404, json::object());
     co_return;
@@ -71,6 +74,14 @@
     lose_answers_ = value.get<std::uint64_t>();
     return true;
   }
+  if (name == "save_copy") {
+    copy_ = {topics_, members_, generation_};
+    return true;
+  }
+  if (name == "restore") {
+    Restore();
+    return true;
+  }
   if (name != "drop_history") return stand_in::SetFault(name, value);
   DropHistory();
   return true;
@@ -83,6 +94,17 @@
   }
 }
 
+void platform_store::Restore() {
+  topics_ = copy_.topics;
+  members_ = copy_.members;
+  generation_ = copy_.generation;
+  for (const auto& [key, newest] : topics_[kServers].newest) {
+    registered_at_us_[key] = MonotonicMicros();
+  }
+  ++era_;
+  changed_.Notify();
+}
+
 void platform_store::AddRecord(const std::string& name, const std::string& record) {
   topic& target = topics_[name];
   if (IsKeyed(name) && !record.empty()) {
@@ -145,11 +167,13 @@
   const time_point deadline = std::chrono::steady_clock::now() + wait;
   const bool waits = topics_[name].end() <= from;
   const auto has_record = [&] { return topics_[name].end() > from && !miss_wakes_; };
-  while (waits && !has_record() && std::chrono::steady_clock::now() < deadline) {
+  const std::uint64_t era = era_;
+  while (waits && !has_record() && era == era_ && std::chrono::steady_clock::now() < deadline) {
     co_await changed_.Wait(deadline);
   }
+  exchange.AddHeader(kEraHeader, std::to_string(era_));
   const topic& source = topics_[name];
-  if (from < source.first) {
+  if (from < source.first || from > source.end()) {
     const json answer = {{"first", source.first}};
     co_await exchange.Answer(410, answer);
     co_return;
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -17,8 +17,10 @@
 /// uses: topics with records that may have keys, long-poll reads, and groups of members.
 ///
 /// Additional faults: `lose_answers` (count: the call takes effect, then the connection is closed),
-/// `drop_history` (bool: discards all but the newest record of each key) and `miss_wakes` (bool: a
-/// waiting read is answered only at the end of its wait).
+/// `drop_history` (bool: discards all but the newest record of each key), `miss_wakes` (bool: a
+/// waiting read is answered only at the end of its wait), `save_copy` (bool: keeps a copy of all
+/// records and members) and `restore` (bool: goes back to that copy and raises the era that each
+/// answer states).
 class platform_store final : public stand_in {
  public:
   explicit platform_store(asio::io_context& context);
@@ -36,6 +38,13 @@
     std::int64_t lifetime_us = 0;
   };
 
+  /// What a copy of the store contains.
+  struct contents {
+    std::map<std::string, topic> topics;
+    std::map<std::string, member> members;
+    std::uint64_t generation = 0;
+  };
+
   awaitable<void> HandleRequest(http_exchange& exchange) override;
   bool SetFault(const std::string& name, const json& value) override;
   awaitable<void> Append(http_exchange& exchange);
@@ -46,6 +55,7 @@
   awaitable<void> Leave(http_exchange& exchange);
   void AddRecord(const std::string& name, const std::string& record);
   void DropHistory();
+  void Restore();
   void ExpireMembers();
   /// Removes registrations of servers that have been silent for three heartbeat intervals.
   void ExpireRegistrations();
@@ -59,6 +69,8 @@
   std::uint64_t generation_ = 0;
   std::uint64_t lose_answers_ = 0;
   bool miss_wakes_ = false;
+  contents copy_;
+  std::uint64_t era_ = 1;
   change_signal changed_;
 };
 
