election: order the lease's records by the store's era, and end each term with it

Cause: records were compared by their offset, which a restored store gives out again. Reads of lower offsets were dropped and repeated at once. An append on the condition of an offset of the earlier era succeeded when the new era had just reached it, though another VM had renewed the lease before. Terms, from which the epochs of orders are counted, were lower than earlier ones.

Change: a record's place is era and offset. A new era ends each term, and claims wait until the holder of that time may no longer act; an append in another era than that of the known record does not take the lease; terms count the era first. A dropped read is followed by a pause. Feeds state the era.

--- a/include/waxwingwing/election/controller_lease.h
+++ b/include/waxwingwing/election/controller_lease.h
@@ -40,6 +40,7 @@
   /// Era of the offset.
   store_era era{};
 
+  store_position position() const { return {era, end}; }
   bool operator==(const lease_record&) const = default;
 };
 
@@ -51,7 +52,10 @@
 /// The holder appends a record at short intervals, on the condition that the previous record is
 /// still the newest. VMs that see no new record for a while append their own under the same
 /// condition, so only one of them succeeds, and one that has not heard of a renewal fails. Nothing
-/// happens when VMs join or leave the deployment. Use from one thread.
+/// happens when VMs join or leave the deployment.
+///
+/// A restore of the store ends every term, because its records no longer show who held the lease
+/// last; claims then wait until the holder of that time may no longer act. Use from one thread.
 class controller_lease {
  public:
   /// `claim_delay`: how long this VM lets others claim a lease first.
@@ -67,8 +71,10 @@
   void Observe(const lease_record& record, time_point now);
   /// Records that a call failed or, for an append, that its outcome is not known.
   void RecordFailure(time_point now);
-  /// Records that an append took effect, after which `end` follows the newest record.
-  void RecordAppended(std::uint64_t end, time_point sent_at, time_point now);
+  /// Records that an append took effect, after which `end` follows the newest record. When `era` is
+  /// not that of the known record, the condition of the append has not shown that it is the newest,
+  /// and the lease is not taken.
+  void RecordAppended(std::uint64_t end, store_era era, time_point sent_at, time_point now);
   /// Records that the store refused an append, because another one came first.
   void RecordConflict();
 
@@ -76,7 +82,8 @@
   bool MayAct(time_point now) const;
   /// Whether this VM holds the lease, including the time before it may act.
   bool IsHolder() const { return term_ > 0; }
-  /// Distinguishes the times for which VMs hold the lease; increases. Zero unless this VM holds it.
+  /// Distinguishes the times for which VMs hold the lease; increases, also when the store is
+  /// restored. Zero unless this VM holds it.
   /// A term goes on after a time without renewals in which no other VM has held the lease.
   std::uint64_t term() const { return term_; }
   const lease_record& record() const { return record_; }
@@ -84,6 +91,10 @@
 
  private:
   time_point ClaimAt() const;
+  /// Whether a record may have been written when another VM, of which it says nothing, held the
+  /// lease: the first one of an era, a late one of its own, and the first one that it sees, when
+  /// that names no other VM.
+  bool MayHideHolder(const lease_record& record) const;
   void RecordSuccess(time_point now);
   void EndTerm();
 
@@ -93,6 +104,7 @@
   lease_record record_;
   /// Whether the record must be read before anything else.
   bool unknown_ = true;
+  bool has_record_ = false;
   /// When the record was first seen as it is, and when it was last seen so.
   time_point first_seen_;
   time_point last_seen_;
@@ -102,6 +114,8 @@
   time_point claims_from_{};
   /// Whether the last call failed.
   bool failing_ = false;
+  /// Era that was known when a call last failed.
+  store_era failed_in_{};
   milliseconds retry_pause_;
   std::uint64_t term_ = 0;
   time_point acts_from_{};
--- a/simulation/lease_fleet.cc
+++ b/simulation/lease_fleet.cc
@@ -29,6 +29,12 @@
   At(now_, [this] { Feed(); });
 }
 
+void lease_fleet::Restore() {
+  const store_era era = stored_.era.Next();
+  stored_ = copy_;
+  stored_.era = era;
+}
+
 void lease_fleet::Join() {
   const std::size_t index = vms_.size();
   vms_.emplace_back();
@@ -101,7 +107,7 @@
   const std::string holder = vms_[index].lease->self();
   const auto apply = [=, this] {
     if (stored_.end != at) return false;
-    stored_ = {holder, at + 1};
+    stored_ = {holder, at + 1, stored_.era};
     return true;
   };
   const bool late = random_.Fraction() < options_.applied_late;
@@ -113,13 +119,14 @@
   }
   const bool applied = !late && apply();
   const std::uint64_t end = stored_.end;
+  const store_era era = stored_.era;
   const duration delay = lost ? duration(kCallTimeout) : options_.store_latency / 2;
   At(now_ + delay, [=, this] {
     Deliver(index, [=, this](controller_lease& lease) {
       if (lost) {
         lease.RecordFailure(now_);
       } else if (applied) {
-        lease.RecordAppended(end, sent_at, now_);
+        lease.RecordAppended(end, era, sent_at, now_);
       } else {
         lease.RecordConflict();
       }
@@ -137,7 +144,9 @@
       vm& receiver = vms_[index];
       if (&receiver == &sender || !receiver.lease || !receiver.alive) continue;
       if (now_ < receiver.frozen_until || receiver.lease->IsHolder()) continue;
-      if (record.end >= receiver.lease->record().end) receiver.lease->Observe(record, now_);
+      if (record.position() >= receiver.lease->record().position()) {
+        receiver.lease->Observe(record, now_);
+      }
     }
   }
   At(now_ + options_.feed_interval, [this] { Feed(); });
--- a/simulation/lease_fleet.h
+++ b/simulation/lease_fleet.h
@@ -41,6 +41,9 @@
   void Freeze(std::size_t vm, duration time) { vms_[vm].frozen_until = now_ + time; }
   /// The store answers no call of the VM until then.
   void CutFromStore(std::size_t vm, duration time) { vms_[vm].cut_until = now_ + time; }
+  /// Copies the store, and sets it back to the last copy, which begins a new era.
+  void SaveCopy() { copy_ = stored_; }
+  void Restore();
   /// Adds a VM that starts now.
   void Join();
 
@@ -91,6 +94,7 @@
   std::uint64_t events_added_ = 0;
   std::vector<vm> vms_;
   lease_record stored_;
+  lease_record copy_;
   std::size_t most_acting_ = 0;
   std::size_t controllers_ = 0;
   std::size_t last_acting_ = SIZE_MAX;
--- a/src/election/controller_lease.cc
+++ b/src/election/controller_lease.cc
@@ -4,6 +4,18 @@
 #include <utility>
 
 namespace waxwingwing {
+namespace {
+
+/// Upper limit of the appends in one era; at 2.5 a second they take 12 years.
+constexpr std::uint64_t kMaxAppendsPerEra = 1'000'000'000;
+/// Terms of more eras repeat; epochs that are counted from terms must stay below 2^53.
+constexpr std::uint64_t kMaxEras = 4096;
+
+std::uint64_t TermOf(const lease_record& record) {
+  return record.era.get() % kMaxEras * kMaxAppendsPerEra + record.end;
+}
+
+}  // namespace
 
 controller_lease::controller_lease(std::string self, duration claim_delay, time_point now,
                                    const controller_lease_options& options)
@@ -41,10 +53,25 @@
   return seen_after_expiry ? lease_step::kAppend : lease_step::kRead;
 }
 
+bool controller_lease::MayHideHolder(const lease_record& record) const {
+  if (!has_record_) return record.end > 0 && (record.holder.empty() || record.holder == self_);
+  if (record.era > record_.era) return true;
+  // An append of this VM that failed in an earlier era may have taken effect only now.
+  return record.holder == self_ && !IsHolder() && record.end != record_.end &&
+         failed_in_ < record.era;
+}
+
 void controller_lease::Observe(const lease_record& record, time_point now) {
   // What other VMs say may be older than what this one has seen.
-  if (!unknown_ && record.end < record_.end) return;
+  const bool is_older = record.position() < record_.position();
+  if (record.era < record_.era || (!unknown_ && is_older)) {
+    not_before_ = std::max(not_before_, now + options_.retry_pause);
+    return;
+  }
   RecordSuccess(now);
+  if (MayHideHolder(record)) claims_from_ = std::max(claims_from_, now + options_.trust);
+  if (record.era > record_.era) EndTerm();
+  has_record_ = true;
   last_seen_ = now;
   if (record != record_) first_seen_ = now;
   unknown_ = false;
@@ -56,6 +83,7 @@
   // The append may have taken effect, now or later.
   unknown_ = true;
   failing_ = true;
+  failed_in_ = record_.era;
   not_before_ = now + retry_pause_;
   retry_pause_ = std::min(
       retry_pause_ * 2, IsHolder() ? options_.longest_holder_pause : options_.longest_retry_pause);
@@ -67,14 +95,16 @@
   failing_ = false;
 }
 
-void controller_lease::RecordAppended(std::uint64_t end, time_point sent_at, time_point now) {
+void controller_lease::RecordAppended(std::uint64_t end, store_era era, time_point sent_at,
+                                      time_point now) {
+  if (era != record_.era) return RecordConflict();
   const bool is_first = record_.end == 0;
   RecordSuccess(now);
-  record_ = {self_, end};
+  record_ = {self_, end, era};
   unknown_ = false;
   first_seen_ = last_seen_ = now;
   if (!IsHolder()) {
-    term_ = end;
+    term_ = TermOf(record_);
     acts_from_ = is_first ? now : now + options_.takeover_wait;
   }
   renewed_at_ = sent_at;
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -74,7 +74,7 @@
   }
   health_.Succeeded();
   if (outcome->appended) {
-    lease_.RecordAppended(outcome->end, sent_at, now);
+    lease_.RecordAppended(outcome->end, outcome->era, sent_at, now);
   } else {
     lease_.RecordConflict();
   }
@@ -92,7 +92,8 @@
   entry_.log.Write(was_holder ? "controller_lost" : "controller_gained",
                    {{"term", lease_.term()},
                     {"holder", lease_.record().holder},
-                    {"offset", lease_.record().end}});
+                    {"offset", lease_.record().end},
+                    {"era", lease_.record().era.get()}});
 }
 
 awaitable<void> controller_election::Leave() {
@@ -101,8 +102,8 @@
   pause_.Wake();
   if (!was_holder) co_return;
   const auto released = co_await store_.AppendLease(std::string(), lease_.record().end);
-  const bool done = released && released->appended;
-  if (done) lease_.Observe({std::string(), released->end}, entry_.clock.Now());
+  const bool done = released && released->appended && released->era == lease_.record().era;
+  if (done) lease_.Observe({std::string(), released->end, released->era}, entry_.clock.Now());
   entry_.log.Write("controller_left", {{"released", done}});
 }
 
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -234,13 +234,14 @@
 
 void controller_link::OnFeed(const vm_id& vm, const directory_feed_message& feed) {
   if (election_.HoldsControllerRole() || !parent_ || parent_->node.vm != vm) return;
+  const lease_record lease{feed.lease_holder, feed.lease_end, store_era(feed.lease_era)};
   // A previous controller may still send messages, and relays may pass them on.
-  if (feed.lease_end < election_.record().end) return;
+  if (lease.position() < election_.record().position()) return;
   const time_point now = entry_.clock.Now();
   feed_received_at_ = now;
   feed_read_at_ = now - feed.age;
   health_.Succeeded();
-  election_.Observe({feed.lease_holder, feed.lease_end});
+  election_.Observe(lease);
   std::vector<relay_node> relays;
   for (const relay_node_message& relay : feed.relays) relays.push_back(FromMessage(relay));
   parents_.SetRelays(relays);
@@ -314,6 +315,7 @@
   feed.limits = ToMessage(hooks_.rate_limits(), now);
   feed.lease_holder = election_.record().holder;
   feed.lease_end = election_.record().end;
+  feed.lease_era = election_.record().era.get();
   feed.vms = vms;
   for (const relay_node& relay : relays_) feed.relays.push_back(ToMessage(relay));
   feed.operators_next = operators.next;
--- a/tests/unit/controller_lease_test.cc
+++ b/tests/unit/controller_lease_test.cc
@@ -28,7 +28,7 @@
   CHECK(lease.Next(later) == lease_step::kRead);
   lease.Observe({"", 0}, later);
   CHECK(lease.Next(later) == lease_step::kAppend);
-  lease.RecordAppended(1, later, later);
+  lease.RecordAppended(1, store_era(), later, later);
   CHECK(lease.MayAct(later));
   CHECK(lease.term() == 1);
   CHECK(lease.Next(later) == lease_step::kWait);
@@ -38,23 +38,23 @@
 TEST_CASE("a holder acts only for a time after it has sent its last successful renewal",
           "[election]") {
   controller_lease lease = LeaseThatSaw({"", 0});
-  lease.RecordAppended(1, kStart, kStart + milliseconds(300));
+  lease.RecordAppended(1, store_era(), kStart, kStart + milliseconds(300));
   CHECK(lease.MayAct(kStart + milliseconds(900)));
   CHECK(!lease.MayAct(kStart + milliseconds(901)));
   SECTION("a late renewal continues the term, since no other VM has held the lease") {
-    lease.RecordAppended(2, kStart + seconds(2), kStart + seconds(2));
+    lease.RecordAppended(2, store_era(), kStart + seconds(2), kStart + seconds(2));
     CHECK(lease.term() == 1);
     CHECK(lease.MayAct(kStart + seconds(2)));
   }
   SECTION("a claim after another holder begins a new term, after a wait") {
     lease.Observe({"b", 5}, kStart + seconds(2));
-    lease.RecordAppended(6, kStart + seconds(4), kStart + seconds(4));
+    lease.RecordAppended(6, store_era(), kStart + seconds(4), kStart + seconds(4));
     CHECK(lease.term() == 6);
     CHECK(!lease.MayAct(kStart + milliseconds(4499)));
     CHECK(lease.MayAct(kStart + milliseconds(4500)));
   }
   SECTION("a renewal in time continues the term") {
-    lease.RecordAppended(2, kStart + milliseconds(500), kStart + milliseconds(510));
+    lease.RecordAppended(2, store_era(), kStart + milliseconds(500), kStart + milliseconds(510));
     CHECK(lease.term() == 1);
     CHECK(lease.MayAct(kStart + milliseconds(1400)));
   }
@@ -216,5 +216,97 @@
   }
 }
 
+// Guards against VMs that read the lease again and again without a pause, because a restored store
+// gives out lower offsets than they know.
+TEST_CASE("load pattern: after a restore of the store few calls are made for the lease",
+          "[election][load]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    lease_fleet::options options;
+    options.seed = seed;
+    lease_fleet fleet(options);
+    fleet.RunUntil(kStart + seconds(5));
+    fleet.SaveCopy();
+    fleet.RunUntil(kStart + seconds(14));
+    const std::size_t calls = fleet.calls();
+    fleet.Restore();
+    fleet.RunUntil(kStart + seconds(17));
+    INFO("seed " << seed);
+    CHECK(fleet.Acting() < fleet.vms());
+    CHECK(fleet.calls() - calls <= 4 * options.vms + 40);
+  }
+}
+
+// Guards against a claim on the condition of an offset that the store has given out a second time:
+// the records before it were written by another VM, which may still act.
+TEST_CASE("an append that is conditional on an offset of an earlier era does not take the lease",
+          "[election]") {
+  controller_lease lease = LeaseThatSaw({"b", 7, store_era(1)});
+  const time_point later = kStart + seconds(2);
+  lease.RecordAppended(8, store_era(2), later, later);
+  CHECK(!lease.IsHolder());
+  CHECK(lease.Next(later) == lease_step::kRead);
+  lease.Observe({"a", 8, store_era(2)}, later);
+  CHECK(lease.Next(later + milliseconds(900)) == lease_step::kWait);
+  CHECK(lease.Next(later + milliseconds(1000)) != lease_step::kWait);
+}
+
+// Guards against epochs of a later controller that are lower than those of an earlier one, which
+// servers reject.
+TEST_CASE("a term after a restore of the store is higher than those before it", "[election]") {
+  controller_lease lease = LeaseThatSaw({"", 90, store_era(1)});
+  lease.RecordAppended(91, store_era(1), kStart, kStart);
+  const std::uint64_t before = lease.term();
+  lease.Observe({"a", 40, store_era(2)}, kStart + seconds(2));
+  CHECK(!lease.IsHolder());
+  lease.RecordAppended(41, store_era(2), kStart + seconds(3), kStart + seconds(3));
+  CHECK(lease.term() > before);
+}
+
+// Guards against news of before the restore, which an earlier controller or a slow answer brings.
+TEST_CASE("records of an earlier era do not replace those of a later one", "[election]") {
+  controller_lease lease = LeaseThatSaw({"b", 7, store_era(2)});
+  lease.Observe({"c", 90, store_era(1)}, kStart + milliseconds(10));
+  CHECK(lease.record() == lease_record{"b", 7, store_era(2)});
+  lease.RecordFailure(kStart + milliseconds(20));
+  lease.Observe({"c", 90, store_era(1)}, kStart + milliseconds(30));
+  CHECK(lease.record() == lease_record{"b", 7, store_era(2)});
+}
+
+// Guards against two controllers after a restore of the store, whose records may name an earlier
+// holder or none.
+TEST_CASE("two VMs never act at the same time when the store is restored, and terms increase",
+          "[election][property]") {
+  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+    lease_fleet::options options;
+    options.vms = 12;
+    options.strong = 0.3;
+    options.lost_answers = 0.1;
+    options.applied_late = 0.1;
+    options.seed = seed;
+    lease_fleet fleet(options);
+    random_source random(seed + 2000);
+    for (int fault = 0; fault < 60; ++fault) {
+      fleet.RunUntil(fleet.now() + milliseconds(static_cast<int>(random.Below(1500))));
+      const std::size_t acting = fleet.Acting();
+      const std::size_t any = static_cast<std::size_t>(random.Below(fleet.vms()));
+      const std::size_t victim = acting < fleet.vms() && random.Below(4) > 0 ? acting : any;
+      const auto time = milliseconds(static_cast<int>(300 + random.Below(4000)));
+      const std::uint64_t kind = random.Below(4);
+      if (kind == 0) fleet.Freeze(victim, time);
+      if (kind == 1) fleet.CutFromStore(victim, time);
+      if (kind == 2) fleet.SaveCopy();
+      if (kind == 3) fleet.Restore();
+    }
+    INFO("seed " << seed);
+    CHECK(fleet.most_acting() <= 1);
+    CHECK(std::is_sorted(fleet.terms().begin(), fleet.terms().end()));
+    const time_point recovered_by = fleet.now() + seconds(12);
+    while (fleet.Acting() == fleet.vms() && fleet.now() < recovered_by) {
+      fleet.RunUntil(fleet.now() + milliseconds(50));
+    }
+    CHECK(fleet.Acting() < fleet.vms());
+  }
+}
+
 }  // namespace
 }  // namespace waxwingwing
