peer: put the eras of a feed behind its other fields

Cause: fields in the middle of a message shift those behind them, so that VMs of the version before would misread feeds during an upgrade. Change: era, lease_era and operators_era come last; a VM of the version before ignores them. Result: frame_codec_test covers them; unit tests pass.

--- a/include/waxwingwing/core/store_position.h
+++ b/include/waxwingwing/core/store_position.h
@@ -17,6 +17,7 @@
   store_era era;
   std::uint64_t offset = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): reported for comparisons that the compiler rewrites.
   auto operator<=>(const store_position&) const = default;
 };
 
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -279,8 +279,6 @@
   /// last. Records that change nothing are left out.
   std::uint64_t from = 0;
   std::uint64_t next = 0;
-  /// Era of the store in which these offsets count.
-  std::uint64_t era = 0;
   /// Compressed, since the controller sends them to every VM: see `PackChanges`.
   packed_changes changes;
   /// Time since the controller sent its query to the store.
@@ -291,18 +289,21 @@
   /// The controller's lease: the name of its holder, and the offset after its newest record.
   std::string lease_holder;
   std::uint64_t lease_end = 0;
-  std::uint64_t lease_era = 0;
   /// Number of VMs whose requests `servers` contains.
   std::uint64_t vms = 0;
   std::vector<relay_node_message> relays;
   /// Offset after the newest of the operators' records, when that was confirmed, and the longest
   /// time that may have passed since then; empty when not known.
   std::uint64_t operators_next = 0;
-  std::uint64_t operators_era = 0;
   std::optional<milliseconds> operators_age;
   std::optional<milliseconds> operators_age_bound;
   /// One for each VM that follows the sender.
   std::vector<load_receipt_message> receipts;
+  /// Eras of the store in which the offsets of the registrations, of the lease and of the
+  /// operators' records count.
+  std::uint64_t era = 0;
+  std::uint64_t lease_era = 0;
+  std::uint64_t operators_era = 0;
 
   bool operator==(const directory_feed_message&) const = default;
   MSGPACK_DEFINE(from, next, changes, age, servers, limits, lease_holder, lease_end, vms, relays,
--- a/tests/unit/frame_codec_test.cc
+++ b/tests/unit/frame_codec_test.cc
@@ -81,7 +81,10 @@
                                  12,
                                  milliseconds(40),
                                  milliseconds(70),
-                                 {{1234567, 77}}},
+                                 {{1234567, 77}},
+                                 4,
+                                 5,
+                                 6},
           stall_message{"g", "s1"},
           crash_evidence_message{
               {{"part", {{"s1", milliseconds(30)}}, milliseconds(20), std::nullopt}}}};
