entry: read the operators' records anew in each era of the store

Cause: a VM noticed a restore only by 410 or by an end below its offset. When more was written again than had been lost, it went on behind records that it had never seen. The first read of the copy confirmed the configuration, and its evacuations replaced those known, although the operators were still writing again what the copy lacked.

Change: places are compared by era and offset, on a VM's own reads and on feeds. A new era makes it read all records; for 0.5 s, and while the copy's configuration is older than the known one, nothing is confirmed. Evacuations end only by their removal, or when a complete read 2.5 s later lacks them.

--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -23,6 +23,11 @@
 /// of the controller may be lost in between, and two reads fit into the rest.
 constexpr double kControllerWaitFraction = 0.125;
 constexpr double kReadAgeFraction = 0.5;
+/// Time in which the operators write again what the store has lost in a restore, and the part of it
+/// in which nothing is confirmed. Keys must be confirmed again before their last confirmation, from
+/// before the outage, is too old.
+constexpr milliseconds kRewriteTime{2500};
+constexpr milliseconds kUnconfirmedTime{500};
 /// Interval at which a VM checks the age of the last confirmation.
 constexpr milliseconds kCheckInterval{250};
 
@@ -51,7 +56,7 @@
   milliseconds retry_pause = kRetryPause;
   while (!entry_.state.stopping || entry_.state.configuration) {
     bool read = false;
-    if (!offset_) {
+    if (!position_ || IsCompleteReadDue()) {
       read = co_await ReadAll();
     } else if (is_controller_()) {
       read = co_await ReadUpdates(controller_wait_);
@@ -76,26 +81,44 @@
     co_return false;
   }
   health_.Succeeded();
-  Apply(*page, true);
-  offset_ = page->next;
-  // Without a configuration there is nothing whose age could be confirmed.
-  if (entry_.state.configuration) Confirm(sent_at, sent_at);
+  RecordEra(page->era, entry_.clock.Now());
+  if (IsCompleteReadDue()) restored_at_.reset();
+  stored_version_ = 0;
+  Apply(*page, !restored_at_);
+  position_ = store_position{page->era, page->next};
+  if (MayConfirm()) Confirm(sent_at, sent_at);
   co_return true;
 }
 
+void configuration_controller::RecordEra(store_era era, time_point now) {
+  if (era_ && era != *era_) restored_at_ = now;
+  era_ = era;
+}
+
+bool configuration_controller::IsCompleteReadDue() const {
+  return restored_at_ && entry_.clock.Now() - *restored_at_ >= kRewriteTime;
+}
+
+bool configuration_controller::MayConfirm() const {
+  // Without a configuration there is nothing whose age could be confirmed.
+  if (!entry_.state.configuration) return false;
+  if (!restored_at_) return true;
+  return entry_.clock.Now() - *restored_at_ >= kUnconfirmedTime &&
+         stored_version_ >= entry_.state.configuration->version;
+}
+
 operators_view configuration_controller::View() const {
-  if (!offset_) return {};
-  return {*offset_, entry_.state.configuration_confirmed_at, entry_.state.keys_confirmed_at};
+  if (!position_) return {};
+  return {*position_, entry_.state.configuration_confirmed_at, entry_.state.keys_confirmed_at};
 }
 
 void configuration_controller::OnControllerView(const operators_view& view) {
-  if (!offset_ || !view.confirmed_at || view.next < *offset_) return;
-  if (view.next > *offset_) {
+  if (!position_ || !view.confirmed_at || view.next < *position_) return;
+  if (view.next > *position_) {
     is_behind_ = true;
     return pause_.Wake();
   }
-  if (entry_.state.configuration)
-    Confirm(*view.confirmed_at, view.earliest_confirmation.value_or(time_point()));
+  if (MayConfirm()) Confirm(*view.confirmed_at, view.earliest_confirmation.value_or(time_point()));
 }
 
 void configuration_controller::Confirm(time_point at, time_point earliest) {
@@ -116,19 +139,22 @@
 awaitable<bool> configuration_controller::ReadUpdates(milliseconds wait) {
   const time_point sent_at = entry_.clock.Now();
   is_behind_ = false;
-  const auto page = co_await store_.ReadFrom(store_stream::kOperators, *offset_, wait);
+  const auto page = co_await store_.ReadFrom(store_stream::kOperators, position_->offset, wait);
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
   }
   health_.Succeeded();
-  if (page->trimmed || page->end < *offset_) {
-    entry_.log.Write("history_trimmed", {{"stream", "operators"}, {"offset", *offset_}});
-    offset_.reset();
+  if (page->trimmed || page->era != position_->era || page->end < position_->offset) {
+    entry_.log.Write("history_trimmed", {{"stream", "operators"},
+                                         {"offset", position_->offset},
+                                         {"era", position_->era.get()},
+                                         {"store_era", page->era.get()}});
+    position_.reset();
     co_return true;
   }
   Apply(*page, false);
-  offset_ = page->next;
+  position_->offset = page->next;
   // A page holds only a part of many large records; older ones confirm nothing.
   if (page->next < page->end) {
     is_behind_ = true;
@@ -138,13 +164,13 @@
   // then.
   const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= wait;
   const time_point confirmed_at = waited ? sent_at + wait : sent_at;
-  if (entry_.state.configuration) Confirm(confirmed_at, confirmed_at);
+  if (MayConfirm()) Confirm(confirmed_at, confirmed_at);
   if (!page->records.empty()) co_await Pause(entry_.context, kBatchPause);
   co_return true;
 }
 
-void configuration_controller::Apply(const store_page& page, bool is_snapshot) {
-  if (is_snapshot) evacuated_.clear();
+void configuration_controller::Apply(const store_page& page, bool is_complete) {
+  if (is_complete) evacuated_.clear();
   for (const store_record& record : page.records) {
     const operator_key key = DecodeOperatorKey(record.key);
     if (key.is_configuration && record.value) ApplyConfiguration(*record.value);
@@ -171,6 +197,7 @@
     entry_.log.Write("configuration_unreadable", {{"reason", decoded.reason()}});
     return;
   }
+  stored_version_ = (*decoded)->version;
   const auto& current = entry_.state.configuration;
   // After the store has lost history, an older record must not replace a newer version.
   if (current && (*decoded)->version <= current->version) return;
--- a/src/entry/configuration_controller.h
+++ b/src/entry/configuration_controller.h
@@ -36,15 +36,23 @@
   /// Reads the newest record of each key. Returns false when the read must be retried after a
   /// pause.
   awaitable<bool> ReadAll();
-  /// Reads the records that follow `offset_`. Returns false when the store did not answer.
+  /// Reads the records that follow `position_`. Returns false when the store did not answer.
   awaitable<bool> ReadUpdates(milliseconds wait);
   /// Records that the known records were the newest at `at`, or at `earliest` if messages took
   /// long.
   void Confirm(time_point at, time_point earliest);
+  /// Notices that the store was restored since the last read.
+  void RecordEra(store_era era, time_point now);
+  /// Whether the store was restored so long ago that the operators have written again what was
+  /// lost, but not all records have been read since.
+  bool IsCompleteReadDue() const;
+  /// Whether a read shows that the known records are the newest. After a restore the store may lack
+  /// what the operators write again.
+  bool MayConfirm() const;
   /// Whether the last confirmation is too old to wait for one by the controller.
   bool IsReadDue() const;
-  /// Applies records; `is_snapshot` when the page holds all keys and not only changes.
-  void Apply(const store_page& page, bool is_snapshot);
+  /// Applies records; `is_complete` when domains without a record are not evacuated.
+  void Apply(const store_page& page, bool is_complete);
   void ApplyConfiguration(const std::string& text);
 
   entry_context& entry_;
@@ -60,7 +68,12 @@
   /// Whether the controller knows of records that this VM has not read.
   bool is_behind_ = false;
   dependency_health health_;
-  std::optional<std::uint64_t> offset_;
+  std::optional<store_position> position_;
+  std::optional<store_era> era_;
+  /// When the first answer of the era was read, until all records have been read later on.
+  std::optional<time_point> restored_at_;
+  /// Version of the newest configuration that the store has shown in this era.
+  std::uint64_t stored_version_ = 0;
   std::set<failure_domain_id> evacuated_;
 };
 
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -274,7 +274,7 @@
 operators_view controller_link::OperatorsOf(const directory_feed_message& feed,
                                             time_point now) const {
   operators_view view;
-  view.next = feed.operators_next;
+  view.next = {store_era(feed.operators_era), feed.operators_next};
   if (feed.operators_age) view.confirmed_at = now - *feed.operators_age;
   if (feed.operators_age_bound && parent_->received_report_sent_at) {
     // The parent sent the feed after it had received that report.
@@ -318,7 +318,8 @@
   feed.lease_era = election_.record().era.get();
   feed.vms = vms;
   for (const relay_node& relay : relays_) feed.relays.push_back(ToMessage(relay));
-  feed.operators_next = operators.next;
+  feed.operators_next = operators.next.offset;
+  feed.operators_era = operators.next.era.get();
   feed.operators_age = AgeOf(operators.confirmed_at, now);
   feed.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
   published_offset_ = next;
--- a/src/entry/operators_view.h
+++ b/src/entry/operators_view.h
@@ -1,16 +1,16 @@
 #pragma once
 
-#include <cstdint>
 #include <optional>
 
 #include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/store_position.h"
 
 namespace waxwingwing {
 
 /// What a VM knows of the operators' records in the store.
 struct operators_view {
-  /// Offset after the newest record.
-  std::uint64_t next = 0;
+  /// The place after the newest record.
+  store_position next;
   /// When it was last confirmed that there is no newer record.
   std::optional<time_point> confirmed_at;
   /// The earliest time at which that can have been, however long messages took.
--- a/tests/unit/configuration_controller_test.cc
+++ b/tests/unit/configuration_controller_test.cc
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 #include <cstddef>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "tests/unit/run_awaitable.h"
 #include "tests/unit/scripted_http_server.h"
@@ -20,15 +22,84 @@
   return text;
 }
 
-/// A page of the store with one configuration record, of a stream that ends at `end`.
-std::string Page(std::uint64_t end, int version) {
-  const std::string key = "config";
-  const std::string value =
-      R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+std::string ConfigurationText(int version) {
+  return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
+}
+
+/// A page of the store with one record, of a stream that ends at `end`.
+std::string PageOf(std::uint64_t end, const std::string& key, const std::string& value) {
   const std::string record = static_cast<char>(key.size()) + key + value;
   return BigEndian(end, 8) + BigEndian(0, 8) + BigEndian(record.size(), 4) + record;
 }
 
+/// The same with a configuration.
+std::string Page(std::uint64_t end, int version) {
+  return PageOf(end, "config", ConfigurationText(version));
+}
+
+std::string EncodeBase64(const std::string& text) {
+  static constexpr std::string_view kAlphabet =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+  std::string encoded;
+  for (std::size_t i = 0; i < text.size(); i += 3) {
+    std::uint32_t group = 0;
+    for (std::size_t j = i; j < i + 3; ++j) {
+      group = group << 8U | (j < text.size() ? static_cast<unsigned char>(text[j]) : 0U);
+    }
+    for (std::size_t j = 0; j < 4; ++j) {
+      encoded += i + j <= text.size() ? kAlphabet[group >> (6 * (3 - j)) & 63U] : '=';
+    }
+  }
+  return encoded;
+}
+
+/// The newest records of a stream: a configuration and, if `evacuated`, the request to evacuate a
+/// domain.
+std::string Newest(std::uint64_t end, int version, bool evacuated = false) {
+  std::string items =
+      R"({"key":"config","value":")" + EncodeBase64(ConfigurationText(version)) + R"("})";
+  if (evacuated) items += R"(,{"key":"evacuate/ifo","value":"e30="})";
+  return R"({"end":)" + std::to_string(end) + R"(,"has_more":false,"items":[)" + items + "]}";
+}
+
+/// An answer of the store in one of its eras.
+scripted_http_server::step InEra(int era, std::string body, std::uint32_t status = 200) {
+  scripted_http_server::step answer;
+  answer.status = status;
+  answer.body = std::move(body);
+  answer.headers = {{"Store-Era", std::to_string(era)}};
+  return answer;
+}
+
+/// A configuration controller of a VM that is not the controller.
+struct configuration_fixture {
+  void Start() { boost::asio::co_spawn(context, configuration.Run(), boost::asio::detached); }
+  bool RunUntilSeen(std::size_t requests) {
+    return RunUntil(context, [&] { return server.seen().size() >= requests; });
+  }
+  /// Lets answers that have arrived be handled.
+  void RunFor(milliseconds time) {
+    const auto until = std::chrono::steady_clock::now() + time;
+    RunUntil(context, [&] { return std::chrono::steady_clock::now() >= until; });
+  }
+  bool RunUntilVersion(std::uint64_t version) {
+    return RunUntil(context,
+                    [&] { return state.configuration && state.configuration->version == version; });
+  }
+
+  boost::asio::io_context context;
+  scripted_http_server server{context};
+  manual_clock clock;
+  entry_settings settings;
+  entry_state state;
+  metrics_registry metrics;
+  event_log log{clock, "vm", [](std::string_view text) { return text.size(); }};
+  entry_context entry{context, clock, settings, state, log, metrics};
+  http_client http{&metrics};
+  store_client store{http, server.address(), 12};
+  configuration_controller configuration{entry, store, [] { return false; }, [] {}};
+};
+
 // Guards against keys that are accepted although they were taken away: a VM that the store had
 // turned away read three of six versions in its first page, and took its keys to be current.
 TEST_CASE("keys are not confirmed by a read that leaves newer records unread", "[entry]") {
@@ -60,5 +131,60 @@
   CHECK(state.keys_confirmed_at);
 }
 
+// Guards against a version that is never read: after a restore of the store more was written again
+// than had been lost, so that a VM that reads on at its offset skips records.
+TEST_CASE("records that a restored store holds before the known offset are read", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.server.Add(InEra(2, PageOf(6, "other", "x")));
+  fixture.server.Add(InEra(2, Newest(6, 6)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  fixture.clock.Advance(std::chrono::seconds(3));
+  CHECK(fixture.RunUntilVersion(6));
+}
+
+// Guards against keys that are accepted after they were taken away, because the copy from which the
+// store was restored is older than the configuration that took them away.
+TEST_CASE("a restored store confirms nothing while its configuration is older", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.server.Add(InEra(2, R"({"first":0})", 410));
+  fixture.server.Add(InEra(2, Newest(4, 4)));
+  fixture.server.Add(InEra(2, Page(5, 5)));
+  fixture.server.Add(InEra(2, BigEndian(5, 8) + BigEndian(0, 8)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.state.keys_confirmed_at.has_value(); }));
+  const time_point before = *fixture.state.keys_confirmed_at;
+  fixture.clock.Advance(std::chrono::seconds(3));
+  REQUIRE(fixture.RunUntilSeen(4));
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.state.configuration->version == 5);
+  CHECK(*fixture.state.keys_confirmed_at == before);
+  fixture.clock.Advance(std::chrono::seconds(1));
+  CHECK(RunUntil(fixture.context, [&] { return *fixture.state.keys_confirmed_at > before; }));
+}
+
+// Guards against requests to a domain that the operators had evacuated before the store was
+// restored from a copy without that record.
+TEST_CASE("a restored store ends an evacuation only after the operators' rewrite", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5, true)));
+  fixture.server.Add(InEra(2, R"({"first":0})", 410));
+  fixture.server.Add(InEra(2, Newest(4, 5)));
+  fixture.Start();
+  const failure_domain_id domain("ifo");
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.state.directory.IsEvacuated(domain); }));
+  fixture.clock.Advance(std::chrono::seconds(3));
+  REQUIRE(fixture.RunUntilSeen(3));
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.state.directory.IsEvacuated(domain));
+  // A read of updates that is under way takes the first of these answers.
+  for (int i = 0; i < 3; ++i) fixture.server.Add(InEra(2, Newest(4, 5)));
+  fixture.clock.Advance(std::chrono::seconds(3));
+  CHECK(RunUntil(fixture.context, [&] { return !fixture.state.directory.IsEvacuated(domain); }));
+}
+
 }  // namespace
 }  // namespace waxwingwing
--- a/tests/unit/scripted_http_server.h
+++ b/tests/unit/scripted_http_server.h
@@ -41,6 +41,8 @@
     std::string bytes_before = {};
     /// Written as they are instead of an answer.
     std::string raw_answer = {};
+    /// Headers of the answer.
+    std::vector<std::pair<std::string, std::string>> headers = {};
   };
   /// Size of what is sent where the client should not wait for its end.
   static constexpr std::size_t kEndlessBytes = std::size_t{32} << 20U;
@@ -115,6 +117,7 @@
       http::response<http::string_body> response;
       response.result(next.status);
       response.body() = next.body;
+      for (const auto& [name, value] : next.headers) response.set(name, value);
       response.prepare_payload();
       co_await http::async_write(*peer, response,
                                  boost::asio::redirect_error(boost::asio::use_awaitable, error));
