entry: read all registrations anew in each era of the store

What callers would see: servers that get no requests, or requests to servers that have left, until each of them registers a change.

Change: places are era and offset, in reads and in feeds. A new era makes a VM read all registrations; removals wait until running servers have registered again. A controller's feeds begin anew with the era.

--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -110,7 +110,7 @@
 }
 
 void controller_link::AnnounceRelease() {
-  if (published_offset_) BroadcastFeed(*published_offset_, *published_offset_, {});
+  if (published_) BroadcastFeed(*published_, published_->offset, {});
 }
 
 void controller_link::RemoveFormerFollowers(time_point now) {
@@ -126,12 +126,12 @@
   feed_received_at_.reset();
   // The loads are of use also while the store cannot be read.
   const bool due = published_at_ && now - *published_at_ >= kFeedInterval;
-  if (published_offset_ && due) BroadcastFeed(*published_offset_, *published_offset_, {});
+  if (published_ && due) BroadcastFeed(*published_, published_->offset, {});
 }
 
 void controller_link::Follow(time_point now) {
   // A controller that stops still has to announce the release of its lease.
-  if (!entry_.state.stopping) published_offset_.reset();
+  if (!entry_.state.stopping) published_.reset();
   relays_.clear();
   parents_.SetController(Controller());
   const bool silent = IsParentSilent(now);
@@ -288,18 +288,19 @@
   return IsFeedCurrent() && network_.Send(parent_->node.vm, stall);
 }
 
-void controller_link::Publish(std::uint64_t from, std::uint64_t next,
+void controller_link::Publish(store_position from, std::uint64_t next,
                               const std::vector<registration_message>& changes,
                               time_point sent_at) {
   if (!election_.HoldsControllerRole()) return;
   read_sent_at_ = sent_at;
   const bool due = !published_at_ || entry_.clock.Now() - *published_at_ >= kFeedInterval;
-  if (published_offset_ && changes.empty() && !due) return;
+  const bool continues = published_ && published_->era == from.era;
+  if (continues && changes.empty() && !due) return;
   // Reads skipped since the last feed changed nothing, so this feed covers them, too.
-  BroadcastFeed(published_offset_ ? std::min(*published_offset_, from) : from, next, changes);
+  BroadcastFeed(continues ? std::min(*published_, from) : from, next, changes);
 }
 
-void controller_link::BroadcastFeed(std::uint64_t from, std::uint64_t next,
+void controller_link::BroadcastFeed(store_position from, std::uint64_t next,
                                     const std::vector<registration_message>& changes) {
   const time_point now = entry_.clock.Now();
   UpdateRelays();
@@ -307,8 +308,9 @@
   const std::size_t vms = reports_.CountVms(true);
   const operators_view operators = hooks_.operators();
   directory_feed_message feed;
-  feed.from = from;
+  feed.from = from.offset;
   feed.next = next;
+  feed.era = from.era.get();
   feed.changes = PackChanges(changes);
   feed.age = AgeOf(read_sent_at_, now);
   feed.servers = ToMessage(all);
@@ -322,7 +324,7 @@
   feed.operators_era = operators.next.era.get();
   feed.operators_age = AgeOf(operators.confirmed_at, now);
   feed.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
-  published_offset_ = next;
+  published_ = store_position{from.era, next};
   published_at_ = now;
   Broadcast(std::move(feed));
   NotifyOtherRequests(all, vms);
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -76,9 +76,9 @@
 
   /// Whether a message with recent registrations has arrived recently.
   bool IsFeedCurrent() const;
-  /// On the controller, sends the changes of a read of the registrations, from offset `from` up to
-  /// `next`, to the other VMs. `sent_at` is when the read was sent.
-  void Publish(std::uint64_t from, std::uint64_t next,
+  /// On the controller, sends the changes of a read of the registrations, from `from` up to the
+  /// offset `next`, to the other VMs. `sent_at` is when the read was sent.
+  void Publish(store_position from, std::uint64_t next,
                const std::vector<registration_message>& changes, time_point sent_at);
   /// Reports a stalled group to the controller; returns false when there is no link.
   bool ReportStall(const stall_message& stall);
@@ -109,7 +109,7 @@
   void SendEvidence();
   /// Sends a feed to the followers, with a receipt for each of them.
   void Broadcast(directory_feed_message feed);
-  void BroadcastFeed(std::uint64_t from, std::uint64_t next,
+  void BroadcastFeed(store_position from, std::uint64_t next,
                      const std::vector<registration_message>& changes);
   /// Appoints the relays, and logs changes.
   void UpdateRelays();
@@ -134,8 +134,8 @@
   std::uint64_t sequence_;
   /// The relays that this VM has appointed as the controller.
   std::vector<relay_node> relays_;
-  /// Offset at which the next feed of this VM as the controller begins.
-  std::optional<std::uint64_t> published_offset_;
+  /// Where the next feed of this VM as the controller begins.
+  std::optional<store_position> published_;
   std::optional<time_point> published_at_;
   /// When this VM sent its last successful read of the registrations.
   time_point read_sent_at_{};
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -39,10 +39,10 @@
   milliseconds retry_pause = kRetryPause;
   for (;;) {
     milliseconds pause = kFeedCheckInterval;
-    if (!offset_ || has_gap_ || hooks_.sends_orders() || !hooks_.is_feed_current()) {
+    if (!position_ || has_gap_ || hooks_.sends_orders() || !hooks_.is_feed_current()) {
       has_gap_ = false;
       bool read = false;
-      if (offset_) {
+      if (position_) {
         read = co_await ReadUpdates();
       } else {
         read = co_await ReadAll();
@@ -70,10 +70,11 @@
   const auto& confirmed = entry_.state.directory_confirmed_at;
   const bool was_unconfirmed = confirmed && now - *confirmed > kOutageThreshold;
   if (health_.is_lost() || was_unconfirmed) return kReregistrationTime;
-  if (!health_.regained_at()) return duration::zero();
   // Running servers are back by then, however late their removal is read: a server that leaves
   // meanwhile must not be kept for longer.
-  return std::max<duration>(*health_.regained_at() + kReregistrationTime - now, duration::zero());
+  const auto back_at = std::max(health_.regained_at(), restored_at_);
+  if (!back_at) return duration::zero();
+  return std::max<duration>(*back_at + kReregistrationTime - now, duration::zero());
 }
 
 awaitable<bool> directory_controller::ReadAll() {
@@ -84,6 +85,9 @@
     co_return false;
   }
   const time_point now = entry_.clock.Now();
+  // The copy lacks servers that have registered since it was made; they register again.
+  if (era_ && page->era != *era_) restored_at_ = now;
+  era_ = page->era;
   const duration delay = RemovalDelay(now);
   health_.Succeeded();
   std::set<backend_server_id> listed;
@@ -92,23 +96,26 @@
     Apply(record, now);
   }
   entry_.state.directory.RemoveUnlisted(listed, now, delay);
-  offset_ = page->next;
-  hooks_.on_read(page->next, page->next, {}, sent_at);
+  position_ = store_position{page->era, page->next};
+  hooks_.on_read(*position_, page->next, {}, sent_at);
   FinishRead(sent_at);
   co_return true;
 }
 
 awaitable<bool> directory_controller::ReadUpdates() {
   const time_point sent_at = entry_.clock.Now();
-  const auto page = co_await store_.ReadFrom(store_stream::kServers, *offset_, kReadWait);
+  const auto page = co_await store_.ReadFrom(store_stream::kServers, position_->offset, kReadWait);
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
   }
   const time_point now = entry_.clock.Now();
-  if (page->trimmed || page->end < *offset_) {
-    entry_.log.Write("history_trimmed", {{"stream", "servers"}, {"offset", *offset_}});
-    offset_.reset();
+  if (page->trimmed || page->era != position_->era || page->end < position_->offset) {
+    entry_.log.Write("history_trimmed", {{"stream", "servers"},
+                                         {"offset", position_->offset},
+                                         {"era", position_->era.get()},
+                                         {"store_era", page->era.get()}});
+    position_.reset();
     co_return co_await ReadAll();
   }
   const duration delay = RemovalDelay(now);
@@ -118,8 +125,8 @@
   for (const store_record& record : page->records) {
     if (ApplyOrRemove(record, now, delay)) changes.push_back({record.key, record.value});
   }
-  const std::uint64_t from = *offset_;
-  offset_ = page->next;
+  const store_position from = *position_;
+  position_->offset = page->next;
   hooks_.on_read(from, page->next, changes, sent_at);
   FinishRead(sent_at);
   co_return true;
@@ -137,12 +144,14 @@
 }
 
 void directory_controller::OnFeed(const directory_feed_message& feed) {
+  const store_position from{store_era(feed.era), feed.from};
+  const store_position next{store_era(feed.era), feed.next};
   // When records are missing in between, they must be read from the store.
-  if (!offset_ || feed.from > *offset_) {
+  if (!position_ || from > *position_) {
     has_gap_ = true;
     return pause_.Wake();
   }
-  if (feed.next < *offset_) return;
+  if (next < *position_) return;
   const auto changes = UnpackChanges(feed.changes);
   if (!changes) {
     entry_.log.Write("feed_unreadable", {{"reason", changes.reason()}});
@@ -155,7 +164,7 @@
   for (const registration_message& change : *changes) {
     ApplyOrRemove({change.key, change.value}, now, delay);
   }
-  offset_ = feed.next;
+  position_ = next;
   FinishRead(now - feed.age);
 }
 
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -24,9 +24,9 @@
     std::function<bool()> sends_orders;
     /// Whether the controller, another VM, forwards the changes it reads.
     std::function<bool()> is_feed_current;
-    /// Called with the changes of a read, its first offset and the offset after it, and when it was
+    /// Called with the changes of a read, its first place and the offset after it, and when it was
     /// sent.
-    std::function<void(std::uint64_t from, std::uint64_t next,
+    std::function<void(store_position from, std::uint64_t next,
                        const std::vector<registration_message>& changes, time_point sent_at)>
         on_read;
     /// Called after the directory has changed.
@@ -44,10 +44,10 @@
  private:
   /// Reads the newest registration of every server and removes servers that are not listed.
   awaitable<bool> ReadAll();
-  /// Reads the records that follow `offset_`.
+  /// Reads the records that follow `position_`.
   awaitable<bool> ReadUpdates();
   void Apply(const store_record& record, time_point now);
-  /// Delay of removals: non-zero during and shortly after an outage of the store.
+  /// Delay of removals: non-zero during and shortly after an outage or a restore of the store.
   duration RemovalDelay(time_point now) const;
   /// Applies a record; returns true for a removal or when the directory changed.
   bool ApplyOrRemove(const store_record& record, time_point now, duration removal_delay);
@@ -59,8 +59,11 @@
   registration_poll_interval poll_interval_;
   wakeable_pause pause_;
   dependency_health health_;
-  std::optional<std::uint64_t> offset_;
-  /// Whether records are missing between `offset_` and the last message of the controller.
+  std::optional<store_position> position_;
+  std::optional<store_era> era_;
+  /// When the first answer of the store since it was restored was read.
+  std::optional<time_point> restored_at_;
+  /// Whether records are missing between `position_` and the last message of the controller.
   bool has_gap_ = false;
   std::uint64_t reported_change_ = 0;
 };
