directory: a removed server does not return by an old registration

What callers would see: requests that wait for a server that has left (DRAIN). Cause: a store that was restored from a copy lists servers as they were then, also those that have been removed since; the directory forgot a removed server. Result: the new test failed with the check taken out (the server was back) and passes.

--- a/include/waxwingwing/directory/server_directory.h
+++ b/include/waxwingwing/directory/server_directory.h
@@ -41,7 +41,8 @@
     std::optional<time_point> removal_at;
   };
 
-  /// Applies a registration; returns false when it is older than the known one.
+  /// Applies a registration; returns false when it is older than the known one, or than the last
+  /// one of a server that was removed: a restored list may hold those again.
   bool Update(backend_server server, time_point now);
   /// Schedules the removal of a server after `delay`, which is zero unless the list was
   /// unavailable.
@@ -77,12 +78,22 @@
     time_point seen_at{};
   };
 
+  /// The last registration of a server that was removed.
+  struct removed_server {
+    std::uint64_t born = 0;
+    std::uint64_t revision = 0;
+    time_point removed_at{};
+  };
+
+  /// Whether the registration is not newer than the last one of a removed server.
+  bool IsOutdated(const backend_server& server) const;
   void Remember(const backend_server& server, time_point now);
   void PruneRemembered(time_point now);
 
   std::map<backend_server_id, entry> entries_;
   std::map<server_group_id, remembered_group> remembered_;
   std::map<backend_server_id, std::string> last_addresses_;
+  std::map<backend_server_id, removed_server> removed_;
   std::set<failure_domain_id> evacuated_;
   std::uint64_t change_count_ = 0;
 };
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -22,7 +22,17 @@
 
 }  // namespace
 
+bool server_directory::IsOutdated(const backend_server& server) const {
+  const auto found = removed_.find(server.id);
+  if (found == removed_.end()) return false;
+  const removed_server& removed = found->second;
+  return server.born < removed.born ||
+         (server.born == removed.born && server.revision <= removed.revision);
+}
+
 bool server_directory::Update(backend_server server, time_point now) {
+  if (IsOutdated(server)) return false;
+  removed_.erase(server.id);
   const auto known = entries_.find(server.id);
   if (known != entries_.end()) {
     const backend_server& old = known->second.server;
@@ -91,7 +101,13 @@
   for (const auto& [id, known] : entries_) {
     if (known.removal_at && *known.removal_at <= now) removed.push_back(id);
   }
-  for (const backend_server_id& id : removed) entries_.erase(id);
+  std::erase_if(removed_,
+                [&](const auto& item) { return now - item.second.removed_at > kRetentionTime; });
+  for (const backend_server_id& id : removed) {
+    const backend_server& server = entries_.at(id).server;
+    removed_[id] = {server.born, server.revision, now};
+    entries_.erase(id);
+  }
   if (!removed.empty()) ++change_count_;
   return removed;
 }
--- a/tests/unit/server_directory_test.cc
+++ b/tests/unit/server_directory_test.cc
@@ -65,6 +65,23 @@
   CHECK(!directory.Find(backend_server_id("a"))->server.draining);
 }
 
+// Guards against requests to a server that has left: a store that was restored from a copy lists it
+// again as it was.
+TEST_CASE("a removed server does not return by a registration that is not newer", "[directory]") {
+  server_directory directory;
+  directory.Update(Server("a", 5, 10), kStart);
+  directory.Remove(backend_server_id("a"), kStart, duration::zero());
+  REQUIRE(directory.ApplyDueRemovals(kStart).size() == 1);
+  CHECK(!directory.Update(Server("a", 4, 10), kStart));
+  CHECK(!directory.Update(Server("a", 5, 10), kStart));
+  CHECK(!directory.Update(Server("a", 9, 9), kStart));
+  CHECK(directory.Find(backend_server_id("a")) == nullptr);
+  SECTION("a newer one of the same incarnation") {
+    CHECK(directory.Update(Server("a", 6, 10), kStart));
+  }
+  SECTION("a later incarnation") { CHECK(directory.Update(Server("a", 1, 11), kStart)); }
+}
+
 TEST_CASE("a delayed removal from a list outage is dropped when the server registers in time",
           "[directory]") {
   server_directory directory;
