entry: count the members' generations anew in each era of the store

Cause: after a restore the store counts generations from the copy's. A VM named its higher one, which tells the store that it knows of all changes up to then, and used partitions at once that the copy may have dealt to another VM. Change: the first renewal in an era names no generation, and partitions count as confirmed only after the usual wait. Result: from reading the code; no test shows it yet.

--- a/src/entry/work_membership.cc
+++ b/src/entry/work_membership.cc
@@ -44,7 +44,9 @@
   while (!entry_.state.stopping) {
     const time_point sent_at = entry_.clock.Now();
     const milliseconds lifetime = Lifetime();
-    const auto view = co_await store_.KeepMembership(member_, generation_, lifetime);
+    // Generations are counted anew in each era of the store.
+    const std::uint64_t generation = era_ == store_.era() ? generation_ : 0;
+    const auto view = co_await store_.KeepMembership(member_, generation, lifetime);
     if (entry_.state.stopping) co_return;
     if (view) {
       health_.Succeeded();
@@ -60,6 +62,9 @@
 }
 
 void work_membership::Apply(const member_view& view, time_point sent_at) {
+  // The former holder of a partition is not known after a restore, even if that was this VM.
+  if (view.era != era_) held_since_.clear();
+  era_ = view.era;
   generation_ = view.generation;
   partitions_ = view.partition_assignment;
   std::erase_if(held_since_,
--- a/src/entry/work_membership.h
+++ b/src/entry/work_membership.h
@@ -46,7 +46,10 @@
   const std::string member_;
   const std::function<void()> on_answer_;
   dependency_health health_;
+  /// Number of the last change of the members that this VM knows of, and the store's era in which
+  /// it counts.
   std::uint64_t generation_ = 0;
+  store_era era_{};
   work_partitions partitions_;
   /// When each held partition was first assigned to this VM.
   std::map<std::size_t, time_point> held_since_;
