entry: read stall notices from their end in each era of the store

Cause: the place in the stream of notices was an offset that a restored store gives out again. Change: a new era starts at the end of the stream, as a new controller does. Result: from reading the code; no test shows it. Unit tests pass.

--- a/src/entry/stall_notice_channel.cc
+++ b/src/entry/stall_notice_channel.cc
@@ -43,29 +43,29 @@
 awaitable<void> stall_notice_channel::Run() {
   for (;;) {
     if (!is_controller_()) {
-      offset_.reset();
+      position_.reset();
       co_await Pause(entry_.context, kRetryPause);
       continue;
     }
     // Notices from before this VM became the controller are out of date: start at the end.
-    const std::uint64_t from = offset_.value_or(0);
+    const std::uint64_t from = position_ ? position_->offset : 0;
     const auto page = co_await store_.ReadFrom(store_stream::kStalls, from,
-                                               offset_ ? kReadWait : milliseconds(0));
+                                               position_ ? kReadWait : milliseconds(0));
     if (!page) {
       co_await Pause(entry_.context, kRetryPause);
       continue;
     }
-    if (page->trimmed) {
-      offset_.reset();
+    if (page->trimmed || (position_ && page->era != position_->era)) {
+      position_.reset();
       co_await Pause(entry_.context, kRetryPause);
       continue;
     }
-    if (offset_) {
+    if (position_) {
       for (const store_record& record : page->records) {
         if (record.value) on_stall_(server_group_id(*record.value));
       }
     }
-    offset_ = offset_ ? page->next : page->end;
+    position_ = store_position{page->era, position_ ? page->next : page->end};
   }
 }
 
--- a/src/entry/stall_notice_channel.h
+++ b/src/entry/stall_notice_channel.h
@@ -32,7 +32,7 @@
   const std::function<bool()> is_controller_;
   const std::function<void(const server_group_id&)> on_stall_;
   std::map<server_group_id, time_point> reported_;
-  std::optional<std::uint64_t> offset_;
+  std::optional<store_position> position_;
 };
 
 }  // namespace waxwingwing
