tests: show that the server still writes copies of its refusals

Cause: found in review. The tests of copied refusals would also pass if the stand-in had stopped writing them. Change: each test ends with requests of other ids until a copy was skipped. A connection without refusals is not searched for one.

--- a/src/forward/refused_requests.cc
+++ b/src/forward/refused_requests.cc
@@ -11,6 +11,7 @@
 }
 
 bool refused_requests::Contains(const request_id& request) const {
+  if (hashes_.empty()) return false;
   return std::find(hashes_.begin(), hashes_.end(), StableHash(request.str())) != hashes_.end();
 }
 
--- a/tests/integration/entry_faulty_server_test.cc
+++ b/tests/integration/entry_faulty_server_test.cc
@@ -26,6 +26,24 @@
   return deployment.Call("POST", "/once/a", {{"Request-Id", id}}, "confirm");
 }
 
+/// Whether the entry VM has skipped an answer to another request.
+bool HasSkippedAnswer(const entry_deployment& deployment) {
+  const std::string metrics = http_client(deployment.ready_address()).Get("/metrics").body;
+  return metrics.find("waxwingwing_foreign_answers_total") != std::string::npos;
+}
+
+/// Sends requests that may run once, one after the other, until a copy of a refusal was skipped.
+/// Shows that servers still write copies.
+void ReadCopies(entry_deployment& deployment) {
+  deployment.SetFault(deployment.service(), "reject", 1);
+  for (int i = 0; i < 100 && !HasSkippedAnswer(deployment); ++i) {
+    REQUIRE(CallOnce(deployment, "copy-" + std::to_string(i)));
+    // A server that refused a request receives none for some milliseconds.
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CHECK(HasSkippedAnswer(deployment));
+}
+
 /// Sends requests until each server of the plain service has run one, so that the entry VM has an
 /// idle connection to each.
 void KeepConnections(entry_deployment& deployment) {
@@ -81,6 +99,7 @@
     if (answer->status == 200) CHECK(answer->body == "answer to " + id);
   }
   CHECK(deployment.RunsOf(id) == 1);
+  ReadCopies(deployment);
 }
 
 /// Registers a server of the plain service that is gone and whose address another one has now.
@@ -125,6 +144,7 @@
         refusals.begin(), refusals.end(), [](const auto& line) { return line["status"] == 421; }));
   }
   CHECK(moved >= 5);
+  ReadCopies(deployment);
 }
 
 // Guards against calling a request "not run", or running it at a second server, because of an
