entry: confirm keys soon after the store was restored

What callers would see: 503 stale_keys at most VMs for up to a second. Found in review: after a restore no read confirmed anything for 0.5 s, and the next one waited for 1.5 s, so that keys could lapse. Change: reads wait for 0.25 s until the operators' rewrite has ended. A VM whose keys had lapsed before confirms nothing before that. Result: the new test asks for reads that wait for 0.25 s and a confirmation after 0.6 s; it passes.

--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -23,11 +23,13 @@
 /// of the controller may be lost in between, and two reads fit into the rest.
 constexpr double kControllerWaitFraction = 0.125;
 constexpr double kReadAgeFraction = 0.5;
-/// Time in which the operators write again what the store has lost in a restore, and the part of it
-/// in which nothing is confirmed. Keys must be confirmed again before their last confirmation, from
-/// before the outage, is too old.
+/// Time in which the operators write again what the store has lost in a restore.
 constexpr milliseconds kRewriteTime{2500};
+/// The part of it in which a VM confirms nothing whose keys are still current. It is shorter, since
+/// the keys would lapse for all callers at once, at VMs that knew all changes until the outage.
 constexpr milliseconds kUnconfirmedTime{500};
+/// Longest wait of a read in that time, in which one answer must follow the other.
+constexpr milliseconds kRewriteWait{250};
 /// Interval at which a VM checks the age of the last confirmation.
 constexpr milliseconds kCheckInterval{250};
 
@@ -63,7 +65,7 @@
     } else if (is_behind_) {
       read = co_await ReadUpdates(milliseconds(0));
     } else if (IsReadDue()) {
-      read = co_await ReadUpdates(read_wait_);
+      read = co_await ReadUpdates(restored_at_ ? kRewriteWait : read_wait_);
     } else {
       co_await pause_.Wait(kCheckInterval);
       continue;
@@ -91,7 +93,12 @@
 }
 
 void configuration_controller::RecordEra(store_era era, time_point now) {
-  if (era_ && era != *era_) restored_at_ = now;
+  if (era_ && era != *era_) {
+    restored_at_ = now;
+    const auto& keys = entry_.state.keys_confirmed_at;
+    const bool is_current = keys && now - *keys < entry_.settings.revoke_limit;
+    confirms_from_ = now + (is_current ? kUnconfirmedTime : kRewriteTime);
+  }
   era_ = era;
 }
 
@@ -103,7 +110,7 @@
   // Without a configuration there is nothing whose age could be confirmed.
   if (!entry_.state.configuration) return false;
   if (!restored_at_) return true;
-  return entry_.clock.Now() - *restored_at_ >= kUnconfirmedTime &&
+  return entry_.clock.Now() >= confirms_from_ &&
          stored_version_ >= entry_.state.configuration->version;
 }
 
--- a/src/entry/configuration_controller.h
+++ b/src/entry/configuration_controller.h
@@ -72,6 +72,8 @@
   std::optional<store_era> era_;
   /// When the first answer of the era was read, until all records have been read later on.
   std::optional<time_point> restored_at_;
+  /// While `restored_at_` is set, no read confirms anything before this time.
+  time_point confirms_from_{};
   /// Version of the newest configuration that the store has shown in this era.
   std::uint64_t stored_version_ = 0;
   std::set<failure_domain_id> evacuated_;
--- a/tests/unit/configuration_controller_test.cc
+++ b/tests/unit/configuration_controller_test.cc
@@ -166,6 +166,27 @@
   CHECK(RunUntil(fixture.context, [&] { return *fixture.state.keys_confirmed_at > before; }));
 }
 
+// Guards against callers that are refused because no key is confirmed again in time after a
+// restore.
+TEST_CASE("a restored store with the known configuration confirms it soon", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.server.Add(InEra(2, R"({"first":0})", 410));
+  fixture.server.Add(InEra(2, Newest(4, 5)));
+  fixture.Start();
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.state.keys_confirmed_at.has_value(); }));
+  const time_point before = *fixture.state.keys_confirmed_at;
+  fixture.clock.Advance(std::chrono::seconds(3));
+  REQUIRE(fixture.RunUntilSeen(3));
+  fixture.RunFor(milliseconds(200));
+  CHECK(*fixture.state.keys_confirmed_at == before);
+  fixture.clock.Advance(milliseconds(600));
+  // A read that began earlier may take the first of these answers.
+  for (int i = 0; i < 3; ++i) fixture.server.Add(InEra(2, BigEndian(4, 8) + BigEndian(0, 8)));
+  CHECK(RunUntil(fixture.context, [&] { return *fixture.state.keys_confirmed_at > before; }));
+  CHECK(fixture.server.seen().back().target.ends_with("wait_ms=250"));
+}
+
 // Guards against requests to a domain that the operators had evacuated before the store was
 // restored from a copy without that record.
 TEST_CASE("a restored store ends an evacuation only after the operators' rewrite", "[entry]") {
