election: a claim counts only on the record that it was sent for

While an append is under way, a feed may bring a record of a later era; an append that then succeeds at the same offset by chance was taken for a claim in that era. Change: the record known when the append was sent must still be the known one. Unit tests pass.

--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -65,7 +65,8 @@
 awaitable<void> controller_election::Append() {
   const bool was_holder = lease_.IsHolder();
   const time_point sent_at = entry_.clock.Now();
-  const auto outcome = co_await store_.AppendLease(lease_.self(), lease_.record().end);
+  const store_position based_on = lease_.record().position();
+  const auto outcome = co_await store_.AppendLease(lease_.self(), based_on.offset);
   const time_point now = entry_.clock.Now();
   if (!outcome) {
     health_.Failed(outcome.reason());
@@ -73,7 +74,8 @@
     co_return;
   }
   health_.Succeeded();
-  if (outcome->appended) {
+  // Another VM may have told of a later record meanwhile.
+  if (outcome->appended && lease_.record().position() == based_on) {
     lease_.RecordAppended(outcome->end, outcome->era, sent_at, now);
   } else {
     lease_.RecordConflict();
