entry: wait for the lifetime of former holders of work after a restore

Cause: found in review. After a restore the store may deal a partition to a VM while another one, which is cut off, still holds it until the lifetime of its last renewal ends. Change: partitions dealt in a new era count as confirmed only after that time. Result: from reading; no test shows it.

--- a/src/entry/work_membership.cc
+++ b/src/entry/work_membership.cc
@@ -62,15 +62,19 @@
 }
 
 void work_membership::Apply(const member_view& view, time_point sent_at) {
-  // The former holder of a partition is not known after a restore, even if that was this VM.
-  if (view.era != era_) held_since_.clear();
+  // After a restore another VM may hold a partition until the lifetime of its last renewal ends.
+  time_point held_since = sent_at;
+  if (era_ && view.era != *era_) {
+    held_since_.clear();
+    held_since += Lifetime() - RenewInterval();
+  }
   era_ = view.era;
   generation_ = view.generation;
   partitions_ = view.partition_assignment;
   std::erase_if(held_since_,
                 [&](const auto& item) { return !partitions_.held.contains(item.first); });
   for (const std::size_t partition : partitions_.held) {
-    held_since_.try_emplace(partition, sent_at);
+    held_since_.try_emplace(partition, held_since);
   }
 }
 
--- a/src/entry/work_membership.h
+++ b/src/entry/work_membership.h
@@ -49,7 +49,7 @@
   /// Number of the last change of the members that this VM knows of, and the store's era in which
   /// it counts.
   std::uint64_t generation_ = 0;
-  store_era era_{};
+  std::optional<store_era> era_;
   work_partitions partitions_;
   /// When each held partition was first assigned to this VM.
   std::map<std::size_t, time_point> held_since_;
