platform: take only an answer with an order's own id on a used connection

Cause: orders and probes reuse connections, and the HTTP client took whatever response came first as the answer. A runner may send an earlier answer again where the next one is due, so that the copy of a probe's answer counted as the answer to `leave`.

Class: an answer on a used connection is taken for the outcome of this attempt.

Change: a request may state a header that the server repeats and that identifies the answer (http_request::answer_id). Answers with another value are skipped, at most three; an answer without it counts only as the first response on its connection; a connection is kept only after an answer that stated it. Servers that repeat no ids get a new connection for each order. The model runner stand-in repeats ids in answers to orders and probes, as runners do.

--- a/include/waxwingwing/platform/http_client.h
+++ b/include/waxwingwing/platform/http_client.h
@@ -7,6 +7,7 @@
 // clang-format on
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,6 +29,10 @@
   std::string method = "GET";
   std::string target;
   std::vector<http_header> headers;
+  /// A header that the server repeats in its answer, with a value that no other request has.
+  /// Answers with another value are skipped. An answer without the header counts only as the first
+  /// response on its connection, and only an answer with it lets the connection be kept.
+  std::optional<http_header> answer_id;
   std::string body;
   /// For the whole exchange, from connecting to the last byte of the answer.
   milliseconds timeout{1000};
--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -1,5 +1,6 @@
 #include "waxwingwing/platform/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -29,6 +30,8 @@
 // Shorter than the idle time-outs common in servers, so that reuse rarely meets a closed
 // connection.
 constexpr auto kMaxIdleTime = std::chrono::seconds(10);
+/// Maximum number of answers to other requests that are skipped before the expected one.
+constexpr int kMaxForeignAnswers = 3;
 
 /// Outcome of one attempt on one connection.
 struct attempt_result {
@@ -41,10 +44,17 @@
   std::size_t bytes_received = 0;
 };
 
+/// To which request an answer belongs, by the header that identifies it.
+enum class answer_owner { kThisRequest, kOtherRequest, kUnknown };
+
 bool HasLineBreak(std::string_view text) {
   return text.find_first_of(std::string_view("\r\n\0", 3)) != std::string_view::npos;
 }
 
+bool IsValidHeader(const http_header& header) {
+  return !header.name.empty() && !HasLineBreak(header.name) && !HasLineBreak(header.value);
+}
+
 /// Validates a request. Returns the reason why it cannot be sent, or an empty text.
 std::string InvalidRequestReason(const http_request& request) {
   if (request.method.empty() || HasLineBreak(request.method)) return "the method is not valid";
@@ -52,10 +62,9 @@
       request.target.find(' ') != std::string::npos) {
     return "the target is not valid";
   }
-  for (const http_header& header : request.headers) {
-    if (header.name.empty() || HasLineBreak(header.name) || HasLineBreak(header.value)) {
-      return "a header is not valid";
-    }
+  const bool valid = std::all_of(request.headers.begin(), request.headers.end(), IsValidHeader);
+  if (!valid || (request.answer_id && !IsValidHeader(*request.answer_id))) {
+    return "a header is not valid";
   }
   return {};
 }
@@ -67,6 +76,7 @@
   message.target(request.target);
   message.set(http::field::host, request.address);
   for (const http_header& header : request.headers) message.set(header.name, header.value);
+  if (request.answer_id) message.set(request.answer_id->name, request.answer_id->value);
   message.keep_alive(request.reuse_connection);
   message.body() = request.body;
   message.prepare_payload();
@@ -101,38 +111,72 @@
   return outcome;
 }
 
-asio::awaitable<attempt_result> RunAttempt(tcp_stream& stream, const http_request& request,
-                                           time_point deadline) {
-  const auto message = ToBeastRequest(request);
-  error_code error;
-  stream.expires_at(deadline);
-  const std::size_t sent =
-      co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
-  if (error) co_return FailedAttempt("sending", error);
+answer_owner OwnerOf(const http::fields& answer, const std::optional<http_header>& id) {
+  if (!id) return answer_owner::kThisRequest;
+  const auto stated = answer.find(id->name);
+  if (stated == answer.end() || stated->value().empty()) return answer_owner::kUnknown;
+  return stated->value() == id->value ? answer_owner::kThisRequest : answer_owner::kOtherRequest;
+}
 
-  beast::flat_buffer buffer(kMaxBufferBytes);
-  std::optional<http::response_parser<http::string_body>> parser;
+using response_parser = http::response_parser<http::string_body>;
+
+/// Reads the next final response with its body and records it in `outcome`; false on failure.
+asio::awaitable<bool> ReadResponse(tcp_stream& stream, const http_request& request,
+                                   beast::flat_buffer& buffer,
+                                   std::optional<response_parser>& parser,
+                                   attempt_result& outcome) {
   const response_limits limits{kHeaderLimit, request.body_limit.get()};
   // Beast 1.74 loses the body limit error of a header that it parses together with its body, so
   // the header is read separately.
   const head_result head =
       co_await ReadResponseHead(stream, buffer, parser, limits, request.method == "HEAD");
-  error = head.error;
-  std::size_t received = head.bytes;
-  if (!error) received += co_await http::async_read(stream, buffer, *parser, StoreError(error));
-  if (error) {
-    attempt_result failed = FailedAttempt("receiving", error);
-    failed.response_started = received > 0 || parser->got_some() || buffer.size() > 0;
-    failed.bytes_sent = sent;
-    failed.bytes_received = received;
-    co_return failed;
+  error_code error = head.error;
+  outcome.bytes_received += head.bytes;
+  if (!error) {
+    outcome.bytes_received += co_await http::async_read(stream, buffer, *parser, StoreError(error));
   }
+  outcome.response_started = outcome.bytes_received > 0 || parser->got_some() || buffer.size() > 0;
+  if (!error) co_return true;
+  outcome.timed_out = error == beast::error::timeout;
+  outcome.reason = "receiving: " + error.message();
+  co_return false;
+}
+
+/// Reads the answer to a request that was sent. `connection_used`: the connection has carried a
+/// response before.
+asio::awaitable<attempt_result> ReadAnswer(tcp_stream& stream, const http_request& request,
+                                           bool connection_used) {
   attempt_result outcome;
-  outcome.response_started = true;
+  beast::flat_buffer buffer(kMaxBufferBytes);
+  std::optional<response_parser> parser;
+  for (int skipped_answers = 0; skipped_answers <= kMaxForeignAnswers; ++skipped_answers) {
+    const bool has_response = co_await ReadResponse(stream, request, buffer, parser, outcome);
+    if (!has_response) co_return outcome;
+    const answer_owner owner = OwnerOf(parser->get(), request.answer_id);
+    if (owner == answer_owner::kOtherRequest) continue;
+    if (owner == answer_owner::kUnknown && (connection_used || skipped_answers > 0)) {
+      outcome.reason = "an answer without an id on a used connection";
+      co_return outcome;
+    }
+    outcome.keep_connection = request.reuse_connection && parser->keep_alive() &&
+                              buffer.size() == 0 && owner == answer_owner::kThisRequest;
+    outcome.reply = ToHttpReply(parser->release());
+    co_return outcome;
+  }
+  outcome.reason = "received only answers to other requests";
+  co_return outcome;
+}
+
+asio::awaitable<attempt_result> RunAttempt(tcp_stream& stream, const http_request& request,
+                                           time_point deadline, bool connection_used) {
+  const auto message = ToBeastRequest(request);
+  error_code error;
+  stream.expires_at(deadline);
+  const std::size_t sent =
+      co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
+  if (error) co_return FailedAttempt("sending", error);
+  attempt_result outcome = co_await ReadAnswer(stream, request, connection_used);
   outcome.bytes_sent = sent;
-  outcome.bytes_received = received;
-  outcome.keep_connection = request.reuse_connection && parser->keep_alive() && buffer.size() == 0;
-  outcome.reply = ToHttpReply(parser->release());
   co_return outcome;
 }
 
@@ -219,7 +263,7 @@
   std::unique_ptr<tcp_stream> stream;
   if (request.reuse_connection) stream = idle_->Take(request.address);
   if (stream) {
-    attempt_result first = co_await RunAttempt(*stream, request, deadline);
+    attempt_result first = co_await RunAttempt(*stream, request, deadline, true);
     CountBytes(request.service, first.bytes_sent, first.bytes_received);
     if (first.keep_connection) idle_->Keep(request.address, std::move(stream));
     if (first.timed_out) idle_->Drop(request.address);
@@ -234,7 +278,7 @@
   co_await stream->async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return NotSent(request, "connecting: " + error.message());
   stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
-  attempt_result outcome = co_await RunAttempt(*stream, request, deadline);
+  attempt_result outcome = co_await RunAttempt(*stream, request, deadline, false);
   CountBytes(request.service, outcome.bytes_sent, outcome.bytes_received);
   if (outcome.keep_connection) idle_->Keep(request.address, std::move(stream));
   if (outcome.timed_out) idle_->Drop(request.address);
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -162,7 +162,8 @@
   if (exchange.path() == "/v1/report") {
     json report = Registration();
     report["seq"] = orders_;
-    co_await exchange.Answer(200, report);
+    header_list headers = {{"Request-Id", exchange.Header("Request-Id")}};
+    co_await exchange.AnswerText(200, report.dump(), std::move(headers));
     co_return;
   }
   if (exchange.path() == "/v1/order") {
@@ -272,7 +273,8 @@
     membership_.reset();
     asio::co_spawn(context(), Register(), asio::detached);
   }
-  co_await exchange.Answer(status, json::object());
+  header_list headers = {{"Request-Id", exchange.Header("Request-Id")}};
+  co_await exchange.AnswerText(status, "{}", std::move(headers));
 }
 
 awaitable<void> model_runner::Reject(http_exchange& exchange, unsigned status) {
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -198,6 +198,68 @@
   CHECK(received.value() == 2 * received_once);
 }
 
+/// Sends requests that the header `Call` identifies.
+struct identified_fixture : http_fixture {
+  http_exchange Call(const std::string& id) {
+    http_request request;
+    request.address = server.address();
+    request.method = "POST";
+    request.target = "/v1/test";
+    request.answer_id = {"Call", id};
+    return RunAwaitable(context, client.Exchange(request));
+  }
+};
+
+std::string AnswerTo(const std::string& id) {
+  return "HTTP/1.1 200 OK\r\nCall: " + id + "\r\nContent-Length: 3\r\n\r\nold";
+}
+
+// Guards against taking an answer to an earlier request for the answer to this one.
+TEST_CASE("answers with the id of another request are skipped", "[platform]") {
+  identified_fixture test;
+  const std::string before = GENERATE(AnswerTo("1"), AnswerTo("1") + AnswerTo("") + AnswerTo("0"),
+                                      AnswerTo("1") + AnswerTo("0") + AnswerTo("1"));
+  test.server.Add({.body = "1", .echoed_header = "Call"});
+  test.server.Add({.body = "2", .bytes_before = before, .echoed_header = "Call"});
+  REQUIRE(test.Call("1").reply);
+  const http_exchange second = test.Call("2");
+  // One without an id cannot be attributed.
+  const bool readable = before.find("Call: \r") == std::string::npos;
+  REQUIRE(static_cast<bool>(second.reply) == readable);
+  CHECK_FALSE(second.not_sent);
+  if (readable) CHECK(second.reply->body == "2");
+  test.server.Add({.body = "3", .echoed_header = "Call"});
+  REQUIRE(test.Call("3").reply);
+  CHECK(test.server.connections() == (readable ? 1 : 2));
+}
+
+// Guards against waiting for the answer as long as a server sends answers to other requests.
+TEST_CASE("an exchange with many answers to other requests fails", "[platform]") {
+  identified_fixture test;
+  std::string many;
+  for (int i = 0; i < 10; ++i) many += AnswerTo("other");
+  test.server.Add({.raw_answer = many});
+  const http_exchange exchange = test.Call("1");
+  REQUIRE_FALSE(exchange.reply);
+  CHECK(exchange.reply.reason().find("answers to other requests") != std::string::npos);
+}
+
+// Guards against keeping a connection on which a late answer could not be told from a later one.
+TEST_CASE("a connection is kept only after an answer that states the id", "[platform]") {
+  identified_fixture test;
+  test.server.Add({.body = "1"});
+  test.server.Add({.body = "2", .echoed_header = "Call"});
+  test.server.Add({.body = "3"});
+  test.server.Add({.body = "4", .echoed_header = "Call"});
+  CHECK(test.Call("1").reply);
+  CHECK(test.Call("2").reply);
+  CHECK(test.server.connections() == 2);
+  // A server that stops stating ids gets a new connection for the next request.
+  CHECK_FALSE(test.Call("3").reply);
+  CHECK(test.Call("4").reply);
+  CHECK(test.server.connections() == 3);
+}
+
 TEST_CASE("a refused connection is distinguished from a lost answer", "[platform]") {
   boost::asio::io_context context;
   http_client client;
--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -169,6 +169,55 @@
   }
 }
 
+/// Sends orders and probes to a scripted server.
+struct orders_fixture {
+  boost::asio::io_context context;
+  scripted_http_server server{context};
+  http_client http;
+  order_client orders{http};
+
+  order_outcome Send(formation_action action) {
+    formation_order order;
+    order.action = action;
+    order.address = server.address();
+    return RunAwaitable(context, orders.Send(order, milliseconds(1000))).outcome;
+  }
+};
+
+constexpr const char* kReport = R"({"stage":"both","models":[]})";
+
+// Guards against taking the second copy of a probe's answer for the answer to the order that
+// follows it, so that a group counts as left by a head that still serves it.
+TEST_CASE("the copy of an earlier answer is not the outcome of an order", "[platform]") {
+  orders_fixture test;
+  const std::string echoed = GENERATE("", "Request-Id");
+  INFO(echoed);
+  test.server.Add({.body = kReport, .echoed_header = echoed});
+  CHECK(test.Send(formation_action::kProbe) == order_outcome::kAccepted);
+  test.server.Add(
+      {.status = 409, .echoed_header = echoed, .copy_previous_answer = !echoed.empty()});
+  CHECK(test.Send(formation_action::kLeave) == order_outcome::kConflict);
+  test.server.Add(
+      {.body = kReport, .echoed_header = echoed, .copy_previous_answer = !echoed.empty()});
+  CHECK(test.Send(formation_action::kProbe) == order_outcome::kAccepted);
+  // Without ids, a copy cannot be distinguished from the answer.
+  CHECK(test.server.connections() == (echoed.empty() ? 3 : 1));
+}
+
+// Guards against an order's answer that has the id of an earlier send of the same order.
+TEST_CASE("every order and probe has an id of its own", "[platform]") {
+  orders_fixture test;
+  std::set<std::string> ids;
+  for (const formation_action action : {formation_action::kLeave, formation_action::kLeave,
+                                        formation_action::kProbe, formation_action::kProbe}) {
+    test.server.Add({.body = kReport, .echoed_header = "Request-Id"});
+    CHECK(test.Send(action) == order_outcome::kAccepted);
+    ids.insert(test.server.seen().back().echoed_value);
+  }
+  CHECK(ids.size() == 4);
+  CHECK_FALSE(ids.contains(""));
+}
+
 // Guards against holding a megabyte of an endless report for each of the many servers that the
 // controller may probe at once.
 TEST_CASE("a report that is far too large is given up early", "[platform]") {
--- a/tests/unit/scripted_http_server.h
+++ b/tests/unit/scripted_http_server.h
@@ -43,6 +43,10 @@
     std::string raw_answer = {};
     /// Headers of the answer.
     std::vector<std::pair<std::string, std::string>> headers = {};
+    /// Name of a request header that the answer repeats, if the request has it.
+    std::string echoed_header = {};
+    /// Writes the previous answer on the connection a second time in front of this one.
+    bool copy_previous_answer = false;
   };
   /// Size of what is sent where the client should not wait for its end.
   static constexpr std::size_t kEndlessBytes = std::size_t{32} << 20U;
@@ -51,6 +55,8 @@
     std::string method;
     std::string target;
     std::string body = {};
+    /// Value of the header that the answer repeats.
+    std::string echoed_value = {};
   };
 
   explicit scripted_http_server(boost::asio::io_context& context)
@@ -86,16 +92,19 @@
   boost::asio::awaitable<void> Serve(std::shared_ptr<socket> peer) {
     namespace http = boost::beast::http;
     boost::beast::flat_buffer buffer;
+    http::response<http::string_body> response;
     for (;;) {
       http::request<http::string_body> request;
       error_code error;
       co_await http::async_read(*peer, buffer, request,
                                 boost::asio::redirect_error(boost::asio::use_awaitable, error));
       if (error || script_.empty()) co_return;
-      seen_.push_back(
-          {std::string(request.method_string()), std::string(request.target()), request.body()});
       const step next = std::move(script_.front());
       script_.pop_front();
+      const std::string echoed_value =
+          next.echoed_header.empty() ? "" : std::string(request[next.echoed_header]);
+      seen_.push_back({std::string(request.method_string()), std::string(request.target()),
+                       request.body(), echoed_value});
       if (next.close_unanswered) co_return;
       if (!next.endless_bytes.empty()) {
         const std::string bytes = next.endless_bytes + std::string(kEndlessBytes, '0');
@@ -114,8 +123,13 @@
           boost::asio::redirect_error(boost::asio::use_awaitable, error));
       if (!next.raw_answer.empty()) continue;
 
-      http::response<http::string_body> response;
+      if (next.copy_previous_answer) {
+        co_await http::async_write(*peer, response,
+                                   boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      }
+      response = {};
       response.result(next.status);
+      if (!echoed_value.empty()) response.set(next.echoed_header, echoed_value);
       response.body() = next.body;
       for (const auto& [name, value] : next.headers) response.set(name, value);
       response.prepare_payload();
