formation: only answers that prove that the head has left release its members

What operators see: members of a group take joins of another one while the group's head still serves it (TWO), when the head answers `leave` with an unexpected status.

Cause: any answer to `leave` counted as proof that the head had left, also 400, 412 or 503, after which the head may still be in its group.

Change: proof is that the order was carried out (200, 202), that it doesn't fit the server's state (409), which for a `leave` means another group and epoch or none, and that another server has the address (421), which is only given to another one after its server has ended. After any other answer the order is sent again. As it may be refused repeatedly, the epochs of new groups are only raised after a 412 to a join: 412 to a `leave` states nothing about epochs.

--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -22,6 +22,15 @@
   return HasStaged(server, model) ? join_cost::kFromHost : join_cost::kFromStore;
 }
 
+/// Whether the answer to a `leave` proves that its target is not a member of the group, or no
+/// longer: the order was carried out, the target is in another group or in none, or another server
+/// has the address, which shows that the target has ended. Any other error says nothing about the
+/// target's membership.
+bool ProvesThatHeadLeft(order_outcome outcome) {
+  return outcome == order_outcome::kAccepted || outcome == order_outcome::kConflict ||
+         outcome == order_outcome::kWrongServer;
+}
+
 }  // namespace
 
 void group_planner::Reset(std::uint64_t epoch_floor) {
@@ -65,13 +74,14 @@
     server.unanswered_since.reset();
     server.unanswered_probes = 0;
   }
-  if (outcome == order_outcome::kOutdated) highest_epoch_ += 1000;
+  // Other orders may be refused repeatedly, and only joins depend on the epochs that were seen.
+  if (outcome == order_outcome::kOutdated && order.action == formation_action::kJoin) {
+    highest_epoch_ += 1000;
+  }
   const auto found = groups_.find(order.group);
   if (found == groups_.end()) return;
   group_record& group = found->second;
-  if (order.action == formation_action::kLeave && outcome != order_outcome::kNoAnswer &&
-      outcome != order_outcome::kUnreachable) {
-    // Any answer is conclusive: the head has left, or it is not in this group and epoch.
+  if (order.action == formation_action::kLeave && ProvesThatHeadLeft(outcome)) {
     group.head_released = true;
   }
   if (outcome == order_outcome::kUnreachable || outcome == order_outcome::kWrongServer) {
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -68,6 +68,54 @@
   CHECK(joins.front().epoch > epoch_floor);
 }
 
+// Guards against joins of another group for the members of a head that may still serve them,
+// because an answer to `leave` that proves nothing counted as proof that the head has left.
+TEST_CASE("only an answer that proves that the head has left releases its members", "[formation]") {
+  const auto [outcome, proves] =
+      GENERATE(table<order_outcome, bool>({{order_outcome::kAccepted, true},
+                                           {order_outcome::kConflict, true},
+                                           {order_outcome::kWrongServer, true},
+                                           {order_outcome::kOutdated, false},
+                                           {order_outcome::kRejected, false},
+                                           {order_outcome::kUnreachable, false},
+                                           {order_outcome::kNoAnswer, false}}));
+  INFO(NameOf(outcome));
+  const time_point now{std::chrono::hours(1)};
+  const server_group_id group = MakeGroupName({"small", false, 47, {}, {}});
+  server_directory directory = JoinedGroup(group, 47, now);
+  // A free server, which takes the head's place if another server has the head's address.
+  backend_server spare = directory.Find(backend_server_id("s1"))->server;
+  spare.id = backend_server_id("spare");
+  spare.membership.reset();
+  directory.Update(spare, now);
+  service_settings service;
+  service.id = service_id("pool");
+  service.models = {{"small", 3, 1.0}};
+  group_planner planner({});
+  planner.Reset(2000);
+  constexpr int accepted_from = 30;
+  std::size_t leaves = 0;
+  std::vector<formation_order> joins;
+  int step = 0;
+  while (joins.empty() && step < 2 * accepted_from) {
+    const time_point later = now + milliseconds(60 * ++step);
+    for (const formation_order& order : planner.Plan(service, directory, later)) {
+      const bool is_member = order.target != spare.id;
+      if (order.action == formation_action::kJoin && is_member) joins.push_back(order);
+      if (order.action != formation_action::kLeave) continue;
+      ++leaves;
+      planner.RecordOutcome(order, step < accepted_from ? outcome : order_outcome::kAccepted,
+                            later);
+    }
+  }
+  // The order is repeated until its answer proves something.
+  CHECK((step < accepted_from) == proves);
+  CHECK((leaves == 1) == proves);
+  REQUIRE(!joins.empty());
+  // Answers to other orders than joins say nothing about epochs.
+  CHECK(joins.front().epoch < 3000);
+}
+
 // Guards against epochs that overflow, after which servers reject all joins, because of an entry of
 // another writer.
 TEST_CASE("the epoch of a group that no controller has named does not count", "[formation]") {
