forward: count only what a server states in the answer to this request

What callers and operators see: a server that is free again gets no requests, and callers get 503 (all_resting); a limit that a server has stated can end early in the same way.

Cause: what a server states about itself (that it leaves, wants a rest, or its limit) was applied before the answer's id was looked at. The late copy of a refusal with a time to come back made the server rest a second time.

Change: statements count only from an answer with this request's id, or without one on a connection that has carried no other request.

--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -161,12 +161,12 @@
     }
     const auto& message = parser_->get();
     response_.metadata = core_.codec.ReadResponseMetadata(message.result_int(), message);
-    core_.RecordNotice(plan_.target, response_.metadata.notice);
     if (IsUnclearRefusal()) {
       failure_ = "a refusal without a request id on a reused connection";
       co_return false;
     }
     if (response_.metadata.id.empty() || response_.metadata.id == plan_.id) {
+      if (IsSurelyOwn()) core_.RecordNotice(plan_.target, response_.metadata.notice);
       response_.status = message.result_int();
       response_.reason = std::string(message.reason());
       response_.fields = message;
@@ -199,6 +199,10 @@
   return plan_.at_most_once && connection_->reused && response_.metadata.id.empty() && IsRefused();
 }
 
+bool server_exchange::IsSurelyOwn() const {
+  return response_.metadata.id == plan_.id || !connection_->reused;
+}
+
 bool server_exchange::IsRefused() const {
   return response_.metadata.not_executed || response_.metadata.wrong_server;
 }
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -135,6 +135,9 @@
   /// Whether the response is a refusal that may belong to an earlier request on the connection, and
   /// the request must not be taken as "not run" for that reason.
   bool IsUnclearRefusal() const;
+  /// Whether the response, which states this request's id or none, cannot be that to an earlier
+  /// request on the connection.
+  bool IsSurelyOwn() const;
   awaitable<bool> ReadBody();
   awaitable<bool> SkipBody();
   bool ProcessBytes(std::string_view bytes);
--- a/tests/integration/entry_notice_test.cc
+++ b/tests/integration/entry_notice_test.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "tests/integration/entry_deployment.h"
+#include "tests/integration/http_client.h"
 #include "tests/integration/platform_processes.h"
 #include "tests/integration/wait_for.h"
 
@@ -106,6 +107,29 @@
   ReachServer(deployment, resting);
 }
 
+// Guards against letting a server rest again because of the copy of a refusal that asked for a rest
+// that is over.
+TEST_CASE("entry: the copy of a refusal does not make its server rest again", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  child_process& server = deployment.service();
+  SetFaults(server, {{"reject", 1}, {"retry_after", kRest}, {"copy_refusals", true}});
+  const auto refused = deployment.Call("POST", "/once/a", {}, "confirm");
+  REQUIRE(refused);
+  CHECK(refused->status == 503);
+  std::this_thread::sleep_for(kRestTime + std::chrono::milliseconds(500));
+  // The copy stands in front of the first of these answers.
+  for (int i = 0; i < 3; ++i) {
+    const auto answer = deployment.Call("POST", "/once/a", {}, "confirm");
+    REQUIRE(answer);
+    INFO(answer->body);
+    CHECK(answer->status == 200);
+  }
+  const std::string metrics = http_client(deployment.ready_address()).Get("/metrics").body;
+  CHECK(metrics.find("waxwingwing_foreign_answers_total 1\n") != std::string::npos);
+  CHECK(metrics.find("waxwingwing_server_notices_total{notice=\"rest\"} 1\n") != std::string::npos);
+}
+
 // Guards against holding a request for a server that wants none within the time that is left, and
 // against telling its caller to come back too early.
 TEST_CASE("entry: a request that only resting servers could take is refused at once", "[entry]") {
