soak: let a plain service repeat its refusals

Cause: no soak seed repeated a refusal on the connection that had carried it. Change: a fault lets a plain service refuse calls and write each refusal once more in front of the next answer. The checks are the same. The kinds of faults that a seed draws change.

--- a/soak/soak_faults.cc
+++ b/soak/soak_faults.cc
@@ -40,12 +40,13 @@
 running_fault soak_faults::InjectRandom() {
   using injector = running_fault (soak_faults::*)();
   // Network paths have more kinds of faults than the other targets, so they are drawn more often.
-  static constexpr std::array<injector, 10> kKinds = {
+  static constexpr std::array<injector, 11> kKinds = {
       &soak_faults::InjectPathFault,  &soak_faults::InjectPathFault,
       &soak_faults::InjectPathFault,  &soak_faults::PauseProcess,
       &soak_faults::KillRunner,       &soak_faults::KillEntry,
       &soak_faults::StopEntry,        &soak_faults::InjectAnswerFault,
-      &soak_faults::InjectStoreFault, &soak_faults::RestoreStore};
+      &soak_faults::InjectStoreFault, &soak_faults::RestoreStore,
+      &soak_faults::CopyRefusals};
   return (this->*kKinds.at(random_.Below(kKinds.size())))();
 }
 
@@ -166,4 +167,13 @@
   return {"restore store", end};
 }
 
+running_fault soak_faults::CopyRefusals() {
+  const std::size_t index = AnyService();
+  child_process& service = *deployment_.services()[index];
+  Set(service, "copy_refusals", true);
+  Set(service, "reject", 4 + random_.Below(8));
+  const auto end = [this, index] { Set(*deployment_.services()[index], "copy_refusals", false); };
+  return {"copy_refusals " + service.name(), end};
+}
+
 }  // namespace waxwingwing::soak
--- a/soak/soak_faults.h
+++ b/soak/soak_faults.h
@@ -20,7 +20,7 @@
 };
 
 /// Injects random faults into the processes of a deployment: signals, connections that proxies
-/// close, delay, silence or freeze in one direction, answers that are wrong or lost, and
+/// close, delay, silence or freeze in one direction, answers that are wrong, lost or repeated, and
 /// restores of the store from a copy.
 class soak_faults {
  public:
@@ -45,6 +45,8 @@
   running_fault InjectStoreFault();
   /// Saves a copy of the store, to which it goes back when the fault ends.
   running_fault RestoreStore();
+  /// Lets a plain service reject calls and repeat each refusal in front of the next answer.
+  running_fault CopyRefusals();
   std::size_t AnyService() { return random_.Below(deployment_.services().size()); }
   std::size_t AnyRunner() { return random_.Below(deployment_.runners().size()); }
   /// Returns a process by the kind and index of its name in fault lists: `entry 0`, `runner 2`,
