--- a/review/common-2/deployment.cc
+++ b/review/common-2/deployment.cc
@@ -19,7 +19,6 @@
 
 constexpr const char* kProgram = "target/waxwingwing";
 constexpr milliseconds kHeartbeat{1200};
-constexpr milliseconds kWorkTime{15};
 constexpr milliseconds kPoll{20};
 constexpr milliseconds kReadyLimit{500};
 constexpr int kMaxDescriptors = 4100;
@@ -68,12 +67,16 @@
 
 }  // namespace
 
-desk_runner::desk_runner(std::string id, platform_store& store, case_record& record)
+desk_runner::desk_runner(std::string id, platform_store& store, case_record& record,
+                         milliseconds work)
     : id_(std::move(id)),
       store_(store),
       record_(record),
-      server_([this](const http_request& request) { return Handle(request); }),
-      registering_([this] { Register(); }) {}
+      work_(work),
+      server_(std::make_unique<http_server>(
+          [this](const http_request& request) { return Handle(request); })),
+      address_(server_->address()),
+      registering_([this] { RegisterPeriodically(); }) {}
 
 desk_runner::~desk_runner() { stopped_ = true; }
 
@@ -84,26 +87,51 @@
     return {421, {{"Request-Id", id}, {"Not-Executed", "1"}}, {}};
   }
   if (request.path == "/healthz") return {200, {{"Instance-Id", id_}}, {}};
-  record_.AddRun(id);
+  record_.AddRun(id_, id);
   record_.Write("runner " + id_ + " runs " + id + ", tenant '" + request.Header("tenant") + "'");
-  std::this_thread::sleep_for(kWorkTime);
-  return {200, {{"Request-Id", id}, {"Response-Signature", id_ + "." + id}}, "answer to " + id};
+  std::this_thread::sleep_for(work_);
+  http_response response = {
+      200, {{"Request-Id", id}, {"Response-Signature", id_ + "." + id}}, "answer to " + id};
+  if (draining_) response.headers["Server-Leaving"] = "1";
+  return response;
 }
 
-void desk_runner::Register() {
-  std::uint64_t number = 0;
-  while (!stopped_) {
-    const json entry = {{"service", "desk"},
-                        {"addr", server_.address()},
-                        {"zone", "ifo"},
-                        {"version", "v1"},
-                        {"slots", 6},
-                        {"state", "ready"},
-                        {"cold_left_ms", 0},
-                        {"seq", ++number},
-                        {"born", 1796600000000},
-                        {"models", json::array()}};
+void desk_runner::Drain(bool forget) {
+  draining_ = true;
+  Register(forget);
+  record_.Write("the store acknowledges that runner " + id_ + " is draining");
+}
+
+void desk_runner::Exit() {
+  stopped_ = true;
+  registering_.join();
+  store_.Write("keyed.servers", id_, {});
+  record_.Write("runner " + id_ + " exits");
+  server_.reset();
+}
+
+void desk_runner::Register(bool forget) {
+  const std::lock_guard lock(mutex_);
+  const json entry = {{"service", "desk"},
+                      {"addr", address_},
+                      {"zone", "ifo"},
+                      {"version", "v1"},
+                      {"slots", 6},
+                      {"state", draining_ ? "draining" : "ready"},
+                      {"cold_left_ms", 0},
+                      {"seq", ++registrations_},
+                      {"born", 1796600000000},
+                      {"models", json::array()}};
+  if (forget) {
+    store_.WriteAndForget("keyed.servers", id_, entry.dump());
+  } else {
     store_.Write("keyed.servers", id_, entry.dump());
+  }
+}
+
+void desk_runner::RegisterPeriodically() {
+  while (!stopped_) {
+    Register(false);
     const time_point next = Now() + kHeartbeat;
     while (!stopped_ && Now() < next) std::this_thread::sleep_for(kPoll);
   }
--- a/review/common-2/deployment.h
+++ b/review/common-2/deployment.h
@@ -4,7 +4,9 @@
 
 #include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
@@ -21,20 +23,34 @@
 /// A runner of the plain service `desk`. It registers itself and runs each request at once.
 class desk_runner {
  public:
-  desk_runner(std::string id, platform_store& store, case_record& record);
+  /// `work`: how long each request takes.
+  desk_runner(std::string id, platform_store& store, case_record& record,
+              milliseconds work = milliseconds(15));
   ~desk_runner();
   desk_runner(const desk_runner&) = delete;
   desk_runner& operator=(const desk_runner&) = delete;
 
+  /// Announces that the runner leaves; it goes on serving. `forget`: the store deletes its records
+  /// right after it has acknowledged the announcement.
+  void Drain(bool forget);
+  /// Ends as a process does: its connections close, and what it runs is lost.
+  void Exit();
+
  private:
   http_response Handle(const http_request& request);
-  void Register();
+  void RegisterPeriodically();
+  void Register(bool forget);
 
   const std::string id_;
   platform_store& store_;
   case_record& record_;
+  const milliseconds work_;
   std::atomic<bool> stopped_ = false;
-  http_server server_;
+  std::atomic<bool> draining_ = false;
+  std::mutex mutex_;
+  std::uint64_t registrations_ = 0;
+  std::unique_ptr<http_server> server_;
+  const std::string address_;
   std::jthread registering_;
 };
 
--- a/review/common-2/store.cc
+++ b/review/common-2/store.cc
@@ -73,6 +73,16 @@
   changed_.notify_all();
 }
 
+void platform_store::WriteAndForget(const std::string& topic, const std::string& key,
+                                    const std::string& value) {
+  std::unique_lock lock(mutex_);
+  changed_.wait(lock, [&] { return waiting_reads_[topic] == 0; });
+  AddRecord(topic, static_cast<char>(key.size()) + key + value);
+  auto& target = content_.topics[topic];
+  target.first = target.End();
+  target.records.clear();
+}
+
 void platform_store::SaveCopy() {
   const std::lock_guard lock(mutex_);
   copy_ = content_;
@@ -124,7 +134,7 @@
     if (value.empty()) {
       target.newest.erase(key);
     } else {
-      target.newest[key] = {target.records.size(), value};
+      target.newest[key] = {target.End(), value};
     }
   }
   target.records.push_back(record);
@@ -132,7 +142,7 @@
 
 http_response platform_store::Append(const http_request& request) {
   const std::string name = request.Query("topic");
-  const std::uint64_t offset = content_.topics[name].records.size();
+  const std::uint64_t offset = content_.topics[name].End();
   const std::string condition = request.Query("at");
   if (!condition.empty() && Number(condition) != offset) {
     return JsonResponse(412, {{"end", offset}});
@@ -146,7 +156,7 @@
     body.remove_prefix(length);
   }
   changed_.notify_all();
-  return JsonResponse(200, {{"offset", offset}, {"end", content_.topics[name].records.size()}});
+  return JsonResponse(200, {{"offset", offset}, {"end", content_.topics[name].End()}});
 }
 
 http_response platform_store::Read(const http_request& request,
@@ -155,16 +165,18 @@
   const std::uint64_t from = Number(request.Query("from"));
   const auto deadline = Now() + milliseconds(Number(request.Query("wait_ms")));
   const std::uint64_t era = era_;
-  changed_.wait_until(lock, deadline, [&] {
-    return away_ || era_ != era || content_.topics[name].records.size() != from;
-  });
+  ++waiting_reads_[name];
+  changed_.wait_until(lock, deadline,
+                      [&] { return away_ || era_ != era || content_.topics[name].End() != from; });
+  --waiting_reads_[name];
+  changed_.notify_all();
   if (away_) return {503, {}, {}};
   const topic& source = content_.topics[name];
-  const std::uint64_t end = source.records.size();
-  if (from > end) return JsonResponse(410, {{"first", 0}});
-  std::string body = BigEndian(end, kOffsetBytes) + BigEndian(0, kOffsetBytes);
+  const std::uint64_t end = source.End();
+  if (from > end || from < source.first) return JsonResponse(410, {{"first", source.first}});
+  std::string body = BigEndian(end, kOffsetBytes) + BigEndian(source.first, kOffsetBytes);
   for (std::uint64_t offset = from; offset < end; ++offset) {
-    const std::string& record = source.records[offset];
+    const std::string& record = source.records[offset - source.first];
     body += BigEndian(record.size(), kLengthBytes) + record;
   }
   return {200, {}, std::move(body)};
@@ -172,7 +184,7 @@
 
 http_response platform_store::Newest(const http_request& request) {
   const topic& source = content_.topics[request.Query("topic")];
-  json answer = {{"items", json::array()}, {"has_more", false}, {"end", source.records.size()}};
+  json answer = {{"items", json::array()}, {"has_more", false}, {"end", source.End()}};
   const std::string after = request.Query("after");
   auto next = after.empty() ? source.newest.begin() : source.newest.upper_bound(after);
   for (; next != source.newest.end() && answer["items"].size() < page_size_; ++next) {
--- a/review/common-2/store.h
+++ b/review/common-2/store.h
@@ -26,6 +26,10 @@
   /// Writes a keyed record and returns when it is acknowledged. Waits while the store is away.
   void Write(const std::string& topic, const std::string& key, const std::string& value);
 
+  /// Writes a keyed record while nobody waits for one, and deletes the topic's records right
+  /// afterwards. The newest record of each key stays.
+  void WriteAndForget(const std::string& topic, const std::string& key, const std::string& value);
+
   /// Keeps a copy of all topics and groups.
   void SaveCopy();
   /// Refuses all calls with 503 until `Restore`.
@@ -35,7 +39,10 @@
 
  private:
   struct topic {
+    /// The records from the offset `first` on.
     std::vector<std::string> records;
+    std::uint64_t first = 0;
+    std::uint64_t End() const { return first + records.size(); }
     /// The newest value of each key, with its offset.
     std::map<std::string, std::pair<std::uint64_t, std::string>> newest;
   };
@@ -63,6 +70,8 @@
   content copy_;
   std::uint64_t era_ = 1;
   bool away_ = false;
+  /// Number of reads that wait for a record, by topic.
+  std::map<std::string, std::size_t> waiting_reads_;
   http_server server_;
 };
 
