Review: number the cases anew after part two, and list them as red

Change: the cases are now 6 (RECOVER), 7 (ROUTE), 8 (Fault), 9 (DRAIN) and 10 (CONFIG, restored). No code of the product.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,7 +13,7 @@
   objects+=("$object")
 done
 wait
-for source in review/{7,8,9,10}/case.cc; do
+for source in review/{6,7,8,9,10}/case.cc; do
   number=$(basename "$(dirname "$source")")
   compile "$source" "${objects[@]}" -o "$target/case-$number"
 done
