--- a/review/common-2/sockets.cc
+++ b/review/common-2/sockets.cc
@@ -9,6 +9,8 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
+#include <set>
 #include <stdexcept>
 
 namespace waxwingwing::review {
@@ -17,6 +19,9 @@
 constexpr int kBacklog = 256;
 constexpr int kSendLimitMs = 5000;
 constexpr std::size_t kReceiveSize = 65536;
+constexpr int kFirstPort = 16000;
+constexpr int kLastPort = 31999;
+constexpr int kPortAttempts = 100;
 
 sockaddr_in LoopbackAddress(std::uint16_t port) {
   sockaddr_in address{};
@@ -45,8 +50,19 @@
 }
 
 std::uint16_t FreePort() {
-  const listener probe = Listen();
-  return static_cast<std::uint16_t>(std::stoi(probe.address.substr(probe.address.find(':') + 1)));
+  static std::mt19937 random{std::random_device{}()};
+  static std::set<std::uint16_t> returned;
+  // Below the ports that the system gives to outgoing connections, which could take one meanwhile.
+  std::uniform_int_distribution<int> ports(kFirstPort, kLastPort);
+  for (int attempt = 0; attempt < kPortAttempts; ++attempt) {
+    const auto port = static_cast<std::uint16_t>(ports(random));
+    const descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const sockaddr_in address = LoopbackAddress(port);
+    const auto* generic = reinterpret_cast<const sockaddr*>(&address);  // NOLINT
+    const bool is_free = ::bind(socket.get(), generic, sizeof address) == 0;
+    if (is_free && returned.insert(port).second) return port;
+  }
+  throw std::runtime_error("no port is free");
 }
 
 std::string Loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
