--- a/review/common-2/run_case.sh
+++ b/review/common-2/run_case.sh
@@ -1,9 +1,10 @@
 #!/usr/bin/env bash
-# Usage: run_case.sh NUMBER. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
-# could not run. TROUBLE=0 leaves out the disruption.
+# Usage: run_case.sh NUMBER TROUBLE. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case
+# could not run. TROUBLE is 0 to leave out the disruption, and 1 otherwise.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 number=$1
+export TROUBLE=$2
 program=build/review-2/case-$number
 for needed in "$program" target/waxwingwing; do
   if [ ! -x "$needed" ]; then
