Stand-in store: lists in pages, encoded queries, registrations that are deleted at once

Change: a page holds 500 records or what the fault `page_size` says; queries and names of streams are decoded; with `forget_registrations` each registration is deleted as soon as it is written.

--- a/stand_ins/http_exchange.cc
+++ b/stand_ins/http_exchange.cc
@@ -5,11 +5,19 @@
 
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cctype>
 #include <cerrno>
 
 namespace waxwingwing::stand_ins {
 namespace {
 
+constexpr int kHexadecimal = 16;
+
+/// Value of a percent-encoded byte's two digits.
+char ByteOf(const std::string& digits) {
+  return static_cast<char>(std::stoi(digits, nullptr, kHexadecimal));
+}
+
 std::map<std::string, std::string> ParseQuery(const std::string& query) {
   std::map<std::string, std::string> values;
   std::size_t start = 0;
@@ -17,7 +25,8 @@
     const std::size_t end = std::min(query.find('&', start), query.size());
     const std::string item = query.substr(start, end - start);
     const std::size_t equals = std::min(item.find('='), item.size());
-    if (equals < item.size()) values[item.substr(0, equals)] = item.substr(equals + 1);
+    if (equals < item.size())
+      values[item.substr(0, equals)] = DecodePercent(item.substr(equals + 1));
     start = end + 1;
   }
   return values;
@@ -25,6 +34,18 @@
 
 }  // namespace
 
+std::string DecodePercent(const std::string& text) {
+  std::string decoded;
+  for (std::size_t i = 0; i < text.size(); ++i) {
+    const bool is_encoded = text[i] == '%' && i + 2 < text.size() &&
+                            std::isxdigit(static_cast<unsigned char>(text[i + 1])) != 0 &&
+                            std::isxdigit(static_cast<unsigned char>(text[i + 2])) != 0;
+    decoded += is_encoded ? ByteOf(text.substr(i + 1, 2)) : text[i];
+    if (is_encoded) i += 2;
+  }
+  return decoded;
+}
+
 http_exchange::http_exchange(tcp::socket& socket, http_request request, std::string& late_bytes)
     : socket_(socket), request_(std::move(request)), late_bytes_(late_bytes) {
   const std::string target(request_.target());
--- a/stand_ins/http_exchange.h
+++ b/stand_ins/http_exchange.h
@@ -19,6 +19,9 @@
 using header_list = std::vector<std::pair<std::string, std::string>>;
 using nlohmann::json;
 
+/// Reverses the percent-encoding of a value in a request's target.
+std::string DecodePercent(const std::string& text);
+
 /// One HTTP request and the means to answer it: with a complete response, with a chunked one, or by
 /// closing the connection.
 ///
--- a/stand_ins/platform_log.cc
+++ b/stand_ins/platform_log.cc
@@ -16,7 +16,7 @@
   if (!path.starts_with(kStreamsPrefix) || !path.ends_with(kRecordsSuffix)) return {};
   const std::size_t fixed = kStreamsPrefix.size() + kRecordsSuffix.size();
   if (path.size() <= fixed) return {};
-  return path.substr(kStreamsPrefix.size(), path.size() - fixed);
+  return DecodePercent(path.substr(kStreamsPrefix.size(), path.size() - fixed));
 }
 
 }  // namespace
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -70,6 +70,10 @@
     miss_wakes_ = value.get<bool>();
     return true;
   }
+  if (name == "page_size") {
+    page_size_ = value.get<std::size_t>();
+    return true;
+  }
   if (name == "lose_answers") {
     lose_answers_ = value.get<std::uint64_t>();
     return true;
@@ -82,16 +86,18 @@
     Restore();
     return true;
   }
+  if (name == "forget_registrations") {
+    forgets_registrations_ = value.get<bool>();
+    return true;
+  }
   if (name != "drop_history") return stand_in::SetFault(name, value);
-  DropHistory();
+  for (auto& [topic_name, kept] : topics_) DropHistory(kept);
   return true;
 }
 
-void platform_store::DropHistory() {
-  for (auto& [name, kept] : topics_) {
-    kept.first = kept.end();
-    kept.records.clear();
-  }
+void platform_store::DropHistory(topic& kept) {
+  kept.first = kept.end();
+  kept.records.clear();
 }
 
 void platform_store::Restore() {
@@ -150,6 +156,7 @@
     body.remove_prefix(length);
   }
   ExpireRegistrations();
+  if (forgets_registrations_) DropHistory(topics_[kServers]);
   changed_.Notify();
   if (lose_answers_ > 0) {
     --lose_answers_;
@@ -190,10 +197,14 @@
 awaitable<void> platform_store::Newest(http_exchange& exchange) {
   const topic& source = topics_[exchange.QueryText("topic")];
   json answer = {{"items", json::array()}, {"has_more", false}, {"end", source.end()}};
-  for (const auto& [key, newest] : source.newest) {
+  const std::string after = exchange.QueryText("after");
+  auto next = after.empty() ? source.newest.begin() : source.newest.upper_bound(after);
+  for (; next != source.newest.end() && answer["items"].size() < page_size_; ++next) {
+    const auto& [offset, value] = next->second;
     answer["items"].push_back(
-        {{"key", key}, {"value", ToBase64(newest.second)}, {"offset", newest.first}});
+        {{"key", next->first}, {"value", ToBase64(value)}, {"offset", offset}});
   }
+  answer["has_more"] = next != source.newest.end();
   co_await exchange.Answer(200, answer);
 }
 
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -17,10 +17,11 @@
 /// uses: topics with records that may have keys, long-poll reads, and groups of members.
 ///
 /// Additional faults: `lose_answers` (count: the call takes effect, then the connection is closed),
-/// `drop_history` (bool: discards all but the newest record of each key), `miss_wakes` (bool: a
-/// waiting read is answered only at the end of its wait), `save_copy` (bool: keeps a copy of all
-/// records and members) and `restore` (bool: goes back to that copy and raises the era that each
-/// answer states).
+/// `drop_history` (bool: discards all but the newest record of each key), `forget_registrations`
+/// (bool: does so with each registration as soon as it is written), `miss_wakes` (bool: a
+/// waiting read is answered only at the end of its wait), `page_size` (number of newest records in
+/// one answer), `save_copy` (bool: keeps a copy of all records and members) and `restore` (bool:
+/// goes back to that copy and raises the era that each answer states).
 class platform_store final : public stand_in {
  public:
   explicit platform_store(asio::io_context& context);
@@ -54,7 +55,8 @@
   awaitable<void> Owners(http_exchange& exchange);
   awaitable<void> Leave(http_exchange& exchange);
   void AddRecord(const std::string& name, const std::string& record);
-  void DropHistory();
+  /// Discards all but the newest record of each key.
+  static void DropHistory(topic& kept);
   void Restore();
   void ExpireMembers();
   /// Removes registrations of servers that have been silent for three heartbeat intervals.
@@ -68,7 +70,10 @@
   std::map<std::string, std::int64_t> registered_at_us_;
   std::uint64_t generation_ = 0;
   std::uint64_t lose_answers_ = 0;
+  bool forgets_registrations_ = false;
   bool miss_wakes_ = false;
+  /// Number of records in one answer about the newest records.
+  std::size_t page_size_ = 500;
   contents copy_;
   std::uint64_t era_ = 1;
   change_signal changed_;
