--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -11,6 +11,7 @@
 
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/platform/ip_endpoint.h"
+#include "waxwingwing/platform/request_target.h"
 #include "waxwingwing/platform/response_reader.h"
 
 namespace waxwingwing {
@@ -62,10 +63,7 @@
 /// Validates a request. Returns the reason why it cannot be sent, or an empty text.
 std::string InvalidRequestReason(const http_request& request) {
   if (request.method.empty() || HasLineBreak(request.method)) return "the method is not valid";
-  if (!request.target.starts_with('/') || HasLineBreak(request.target) ||
-      request.target.find(' ') != std::string::npos) {
-    return "the target is not valid";
-  }
+  if (!IsValidRequestTarget(request.target)) return "the target is not valid";
   const bool valid = std::all_of(request.headers.begin(), request.headers.end(), IsValidHeader);
   if (!valid || (request.answer_id && !IsValidHeader(*request.answer_id))) {
     return "a header is not valid";
--- a/src/platform/log_client.cc
+++ b/src/platform/log_client.cc
@@ -2,9 +2,12 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <utility>
 
 #include "waxwingwing/platform/json_fields.h"
+#include "waxwingwing/platform/request_target.h"
 
 namespace waxwingwing {
 namespace {
@@ -17,8 +20,8 @@
 // Holds a page of records and the largest snapshot expected at the target size.
 constexpr byte_count kMaxPageBytes{std::uint64_t{16} << 20U};
 
-std::string RecordsTarget(const std::string& stream) {
-  return "/v1/streams/" + stream + "/records";
+request_target RecordsTarget(const std::string& stream) {
+  return request_target("/v1/streams").Segment(stream).Segment("records");
 }
 
 read_answer FailedRead(std::string reason) {
@@ -128,7 +131,7 @@
   request.address = address_;
   request.service = "log";
   request.method = "POST";
-  request.target = RecordsTarget(stream);
+  request.target = RecordsTarget(stream).str();
   request.headers.push_back({"Content-Type", "application/json"});
   request.body = PrintJson(body);
   request.timeout = timeout_;
@@ -140,8 +143,13 @@
   http_request request;
   request.address = address_;
   request.service = "log";
-  request.target = fmt::format("{}?from={}&limit={}&wait_ms={}", RecordsTarget(stream),
-                               range.from.get(), range.limit, range.wait.count());
+  request.target =
+      RecordsTarget(stream)
+          .Parameter("from", range.from.get())
+          .Parameter("limit", range.limit)
+          .Parameter("wait_ms",
+                     static_cast<std::uint64_t>(std::max(range.wait, milliseconds(0)).count()))
+          .str();
   request.timeout = timeout_ + range.wait;
   request.body_limit = kMaxPageBytes;
   const result<http_reply> reply = co_await http_.Send(std::move(request));
--- a/tests/integration/entry_registration_test.cc
+++ b/tests/integration/entry_registration_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <stop_token>
 #include <string>
 #include <thread>
 #include <vector>
@@ -97,6 +98,28 @@
   CHECK(deployment.entry().Running());
 }
 
+// Guards against VMs that never start again: the store continues its list after the key of another
+// writer's entry, which cannot be written into a request line as it is.
+TEST_CASE("entry: a VM starts although a page of the list ends with a key that needs encoding",
+          "[entry]") {
+  entry_deployment deployment({.runners = 2});
+  deployment.WaitUntilServing();
+  deployment.SetFault(deployment.store(), "page_size", 1);
+  // The store removes entries that are not written again.
+  const std::jthread writer([&](const std::stop_token& stop) {
+    while (!stop.stop_requested()) {
+      for (const char* key : {"desk 1 of 2", "rack 5&after=z slot 7", "runner-0#%\xc3\xa9"}) {
+        deployment.WriteRegistration(key, R"({"kind":"inventory"})");
+      }
+      std::this_thread::sleep_for(milliseconds(200));
+    }
+  });
+  std::this_thread::sleep_for(milliseconds(500));
+  deployment.entry().Kill();
+  deployment.RestartEntry(0);
+  CHECK_NOTHROW(deployment.WaitUntilServing());
+}
+
 /// Time of the VM's last log line of this event with this value of `member`; empty when there is
 /// none.
 std::optional<std::int64_t> TimeOfLast(const entry_deployment& deployment, const std::string& event,
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -304,6 +304,10 @@
   request.address = "127.0.0.1:1";
   request.target = "/a\r\nX: y";
   REQUIRE(RunAwaitable(context, client.Exchange(request)).not_sent);
+  request.target = "/a\xff";
+  const http_exchange unencoded = RunAwaitable(context, client.Exchange(request));
+  REQUIRE(unencoded.not_sent);
+  CHECK(unencoded.reply.reason() == "127.0.0.1:1: the target is not valid");
   request.target = "/a";
   request.headers.push_back({"X-Organisation", "a\nb"});
   REQUIRE(RunAwaitable(context, client.Exchange(request)).not_sent);
--- a/tests/unit/platform_adapters_test.cc
+++ b/tests/unit/platform_adapters_test.cc
@@ -118,6 +118,19 @@
   CHECK(server.seen()[0].target == "/v1/streams/claims/records?from=4&limit=10&wait_ms=20");
 }
 
+// Guards against reads of another stream, or of none, because of the bytes in a stream's name.
+TEST_CASE("the name of a stream is encoded in the request line", "[platform]") {
+  boost::asio::io_context context;
+  scripted_http_server server(context);
+  http_client http;
+  log_client log(http, server.address(), kTimeout);
+  server.Add({.body = kPage});
+  RunAwaitable(context, log.Read("claims of a/b?", {log_offset(4), 10, milliseconds(20)}));
+  REQUIRE(server.seen().size() == 1);
+  CHECK(server.seen()[0].target ==
+        "/v1/streams/claims%20of%20a%2Fb%3F/records?from=4&limit=10&wait_ms=20");
+}
+
 TEST_CASE("the VM list filters out invalid rows and reports them together", "[platform]") {
   const auto good = ParseVmList(kVms);
   REQUIRE(good);
--- /dev/null
+++ b/tests/unit/store_client_test.cc
@@ -0,0 +1,56 @@
+#include "platform/store_client.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/unit/run_awaitable.h"
+#include "tests/unit/scripted_http_server.h"
+
+namespace waxwingwing {
+namespace {
+
+struct store_fixture {
+  result<store_page> ReadNewest(store_stream stream = store_stream::kServers) {
+    return RunAwaitable(context, store.ReadNewest(stream));
+  }
+
+  boost::asio::io_context context;
+  scripted_http_server server{context};
+  metrics_registry metrics;
+  http_client http{&metrics};
+  store_client store{http, server.address(), 12};
+};
+
+/// An answer of the store with one record, after which others follow if `has_more`.
+std::string PageWith(const std::string& key, bool has_more) {
+  return R"({"end":9,"has_more":)" + std::string(has_more ? "true" : "false") +
+         R"(,"items":[{"key":")" + key + R"(","value":"aGVsbG8="}]})";
+}
+
+// Guards against VMs that never start: the key of another writer's entry ended a page, and the
+// request for the next page was not sent, or asked for another key.
+TEST_CASE("a list is read on after a key of any bytes", "[platform]") {
+  struct example {
+    std::string key;
+    /// The key as JSON writes it.
+    std::string text;
+    std::string encoded;
+  };
+  const example shown = GENERATE(
+      example{"rack 5 slot 7", "rack 5 slot 7", "rack%205%20slot%207"},
+      example{"a&after=z#b?+%41", "a&after=z#b?+%41", "a%26after%3Dz%23b%3F%2B%2541"},
+      example{"a\r\nb", "a\\r\\nb", "a%0D%0Ab"}, example{"caf\xc3\xa9", "caf\\u00e9", "caf%C3%A9"},
+      example{"a\"/\\", "a\\\"/\\\\", "a%22%2F%5C"});
+  store_fixture fixture;
+  fixture.server.Add({200, PageWith(shown.text, true)});
+  fixture.server.Add({200, PageWith("z", false)});
+  const auto page = fixture.ReadNewest();
+  REQUIRE(page);
+  REQUIRE(page->records.size() == 2);
+  CHECK(page->records.front().key == shown.key);
+  CHECK(fixture.server.seen().back().target ==
+        "/v1/log-newest?topic=keyed.servers&part=0&after=" + shown.encoded);
+}
+
+}  // namespace
+}  // namespace waxwingwing
