--- a/include/waxwingwing/directory/server_directory.h
+++ b/include/waxwingwing/directory/server_directory.h
@@ -47,8 +47,10 @@
   /// Schedules the removal of a server after `delay`, which is zero unless the list was
   /// unavailable.
   void Remove(const backend_server_id& id, time_point now, duration delay);
-  /// Schedules the removal of all servers that are not in `listed`, each as `Remove` does.
-  void RemoveUnlisted(const std::set<backend_server_id>& listed, time_point now, duration delay);
+  /// Schedules the removal of all servers that are not in `listed`, each as `Remove` does, and
+  /// returns them.
+  std::vector<backend_server_id> RemoveUnlisted(const std::set<backend_server_id>& listed,
+                                                time_point now, duration delay);
   /// Applies the removals that are due and returns the removed servers.
   std::vector<backend_server_id> ApplyDueRemovals(time_point now);
 
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -329,11 +329,15 @@
   std::uint64_t era = 0;
   std::uint64_t lease_era = 0;
   std::uint64_t operators_era = 0;
+  /// Whether the changes were found by comparing lists, since records were deleted. They lead on
+  /// only from exactly `from`: a VM that has read some of the records in between must read the
+  /// list.
+  bool is_comparison = false;
 
   bool operator==(const directory_feed_message&) const = default;
   MSGPACK_DEFINE(from, next, changes, age, servers, limits, lease_holder, lease_end, vms, relays,
                  operators_next, operators_age, operators_age_bound, receipts, era, lease_era,
-                 operators_era)
+                 operators_era, is_comparison)
 };
 
 /// Reports to the controller that the streams of a group have stalled, as observed by one VM.
--- a/src/directory/server_directory.cc
+++ b/src/directory/server_directory.cc
@@ -89,11 +89,14 @@
   found->second.removal_at = now + delay;
 }
 
-void server_directory::RemoveUnlisted(const std::set<backend_server_id>& listed, time_point now,
-                                      duration delay) {
+std::vector<backend_server_id> server_directory::RemoveUnlisted(
+    const std::set<backend_server_id>& listed, time_point now, duration delay) {
+  std::vector<backend_server_id> unlisted;
   for (const auto& [id, known] : entries_) {
-    if (!listed.contains(id)) Remove(id, now, delay);
+    if (!listed.contains(id)) unlisted.push_back(id);
   }
+  for (const backend_server_id& id : unlisted) Remove(id, now, delay);
+  return unlisted;
 }
 
 std::vector<backend_server_id> server_directory::ApplyDueRemovals(time_point now) {
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -109,9 +109,7 @@
   }
 }
 
-void controller_link::AnnounceRelease() {
-  if (published_) BroadcastFeed(*published_, published_->offset, {});
-}
+void controller_link::AnnounceRelease() { BroadcastLoads(); }
 
 void controller_link::RemoveFormerFollowers(time_point now) {
   reports_.RemoveExpired(now);
@@ -126,7 +124,7 @@
   feed_received_at_.reset();
   // The loads are of use also while the store cannot be read.
   const bool due = published_at_ && now - *published_at_ >= kFeedInterval;
-  if (published_ && due) BroadcastFeed(*published_, published_->offset, {});
+  if (due) BroadcastLoads();
 }
 
 void controller_link::Follow(time_point now) {
@@ -295,30 +293,41 @@
   return IsFeedCurrent() && network_.Send(parent_->node.vm, stall);
 }
 
-void controller_link::Publish(store_position from, std::uint64_t next,
-                              const std::vector<registration_message>& changes,
-                              time_point sent_at) {
+void controller_link::Publish(const registration_read& read) {
   if (!election_.HoldsControllerRole()) return;
-  read_sent_at_ = sent_at;
+  read_sent_at_ = read.sent_at;
   const bool due = !published_at_ || entry_.clock.Now() - *published_at_ >= kFeedInterval;
-  const bool continues = published_ && published_->era == from.era;
-  if (continues && changes.empty() && !due) return;
-  // Reads skipped since the last feed changed nothing, so this feed covers them, too.
-  BroadcastFeed(continues ? std::min(*published_, from) : from, next, changes);
+  const bool continues = published_ && published_->era == read.from.era;
+  const bool is_empty = read.coverage == read_coverage::kRecords && read.changes.empty();
+  if (continues && is_empty && !due) return;
+  registration_read published = read;
+  if (read.coverage == read_coverage::kUnknown) {
+    published.from = read.next;
+    published.changes.clear();
+  } else if (continues) {
+    // Reads skipped since the last feed changed nothing, so this feed covers them, too.
+    published.from = std::min(*published_, read.from);
+  }
+  BroadcastFeed(published);
+}
+
+void controller_link::BroadcastLoads() {
+  if (!published_) return;
+  BroadcastFeed({read_coverage::kRecords, *published_, *published_, {}, read_sent_at_});
 }
 
-void controller_link::BroadcastFeed(store_position from, std::uint64_t next,
-                                    const std::vector<registration_message>& changes) {
+void controller_link::BroadcastFeed(const registration_read& read) {
   const time_point now = entry_.clock.Now();
   UpdateRelays();
   const server_requests all = reports_.Sum(hooks_.own_requests(), true);
   const std::size_t vms = reports_.CountVms(true);
   const operators_view operators = hooks_.operators();
   directory_feed_message feed;
-  feed.from = from.offset;
-  feed.next = next;
-  feed.era = from.era.get();
-  feed.changes = PackChanges(changes);
+  feed.from = read.from.offset;
+  feed.next = read.next.offset;
+  feed.era = read.next.era.get();
+  feed.changes = PackChanges(read.changes);
+  feed.is_comparison = read.coverage == read_coverage::kComparison;
   feed.age = AgeOf(read_sent_at_, now);
   feed.servers = ToMessage(all);
   feed.limits = ToMessage(hooks_.rate_limits(), now);
@@ -331,7 +340,7 @@
   feed.operators_era = operators.next.era.get();
   feed.operators_age = AgeOf(operators.confirmed_at, now);
   feed.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
-  published_ = store_position{from.era, next};
+  published_ = read.next;
   published_at_ = now;
   Broadcast(std::move(feed));
   NotifyOtherRequests(all, vms);
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -12,6 +12,7 @@
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
 #include "entry/operators_view.h"
+#include "entry/registration_read.h"
 #include "waxwingwing/core/random_source.h"
 #include "waxwingwing/dispatch/server_notices.h"
 #include "waxwingwing/dispatch/server_requests.h"
@@ -82,10 +83,8 @@
 
   /// Whether a message with recent registrations has arrived recently.
   bool IsFeedCurrent() const;
-  /// On the controller, sends the changes of a read of the registrations, from `from` up to the
-  /// offset `next`, to the other VMs. `sent_at` is when the read was sent.
-  void Publish(store_position from, std::uint64_t next,
-               const std::vector<registration_message>& changes, time_point sent_at);
+  /// On the controller, sends the changes of a read of the registrations to the other VMs.
+  void Publish(const registration_read& read);
   /// Reports a stalled group to the controller; returns false when there is no link.
   bool ReportStall(const stall_message& stall);
 
@@ -117,8 +116,9 @@
   void SendEvidence();
   /// Sends a feed to the followers, with a receipt for each of them.
   void Broadcast(directory_feed_message feed);
-  void BroadcastFeed(store_position from, std::uint64_t next,
-                     const std::vector<registration_message>& changes);
+  void BroadcastFeed(const registration_read& read);
+  /// Sends a feed without changes.
+  void BroadcastLoads();
   /// Appoints the relays, and logs changes.
   void UpdateRelays();
   /// Subtracts this VM's own requests from those of all VMs and passes the difference to
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -42,7 +42,7 @@
     if (!position_ || has_gap_ || hooks_.sends_orders() || !hooks_.is_feed_current()) {
       has_gap_ = false;
       bool read = false;
-      if (position_) {
+      if (position_ && !needs_list_) {
         read = co_await ReadUpdates();
       } else {
         read = co_await ReadAll();
@@ -90,18 +90,41 @@
   era_ = page->era;
   const duration delay = RemovalDelay(now);
   health_.Succeeded();
-  std::set<backend_server_id> listed;
-  for (const store_record& record : page->records) {
-    if (record.value) listed.insert(backend_server_id(record.key));
-    Apply(record, now);
+  registration_read read{read_coverage::kUnknown, {}, {page->era, page->next}, {}, sent_at};
+  read.changes = ApplyList(*page, now, delay);
+  if (position_ && position_->era == page->era) {
+    read.coverage = read_coverage::kComparison;
+    read.from = *position_;
   }
-  entry_.state.directory.RemoveUnlisted(listed, now, delay);
-  position_ = store_position{page->era, page->next};
-  hooks_.on_read(*position_, page->next, {}, sent_at);
+  entry_.log.Write("registrations_listed", {{"servers", entry_.state.directory.entries().size()},
+                                            {"changes", read.changes.size()},
+                                            {"from", read.from.offset},
+                                            {"next", read.next.offset},
+                                            {"era", read.next.era.get()}});
+  position_ = read.next;
+  needs_list_ = false;
+  hooks_.on_read(read);
   FinishRead(sent_at);
   co_return true;
 }
 
+std::vector<registration_message> directory_controller::ApplyList(const store_page& page,
+                                                                  time_point now,
+                                                                  duration removal_delay) {
+  std::vector<registration_message> changes;
+  std::set<backend_server_id> listed;
+  for (const store_record& record : page.records) {
+    if (!record.value) continue;
+    listed.insert(backend_server_id(record.key));
+    if (ApplyOrRemove(record, now, removal_delay)) changes.push_back({record.key, record.value});
+  }
+  for (const backend_server_id& id :
+       entry_.state.directory.RemoveUnlisted(listed, now, removal_delay)) {
+    changes.push_back({id.str(), std::nullopt});
+  }
+  return changes;
+}
+
 awaitable<bool> directory_controller::ReadUpdates() {
   const time_point sent_at = entry_.clock.Now();
   const auto page = co_await store_.ReadFrom(store_stream::kServers, position_->offset, kReadWait);
@@ -115,19 +138,18 @@
                                          {"offset", position_->offset},
                                          {"era", position_->era.get()},
                                          {"store_era", page->era.get()}});
-    position_.reset();
+    needs_list_ = true;
     co_return co_await ReadAll();
   }
   const duration delay = RemovalDelay(now);
   health_.Succeeded();
   entry_.metrics.Counter("waxwingwing_registrations_read_total").Increment(page->records.size());
-  std::vector<registration_message> changes;
+  registration_read read{read_coverage::kRecords, *position_, {page->era, page->next}, {}, sent_at};
   for (const store_record& record : page->records) {
-    if (ApplyOrRemove(record, now, delay)) changes.push_back({record.key, record.value});
+    if (ApplyOrRemove(record, now, delay)) read.changes.push_back({record.key, record.value});
   }
-  const store_position from = *position_;
-  position_->offset = page->next;
-  hooks_.on_read(from, page->next, changes, sent_at);
+  position_ = read.next;
+  hooks_.on_read(read);
   FinishRead(sent_at);
   co_return true;
 }
@@ -143,15 +165,28 @@
   return entry_.state.directory.change_count() != before;
 }
 
-void directory_controller::OnFeed(const directory_feed_message& feed) {
+bool directory_controller::JoinsOn(const directory_feed_message& feed) const {
   const store_position from{store_era(feed.era), feed.from};
+  return position_ && (feed.is_comparison ? from == *position_ : from <= *position_);
+}
+
+void directory_controller::OnFeed(const directory_feed_message& feed) {
   const store_position next{store_era(feed.era), feed.next};
-  // When records are missing in between, they must be read from the store.
-  if (!position_ || from > *position_) {
+  if (position_ && next < *position_) return;
+  // What is missing in between must be read from the store.
+  if (!JoinsOn(feed) && next != position_) {
+    entry_.metrics.Counter("waxwingwing_directory_gaps_total").Increment();
+    entry_.log.Write("directory_gap",
+                     {{"offset", position_ ? position_->offset : 0},
+                      {"era", position_ ? position_->era.get() : 0},
+                      {"from", feed.from},
+                      {"next", feed.next},
+                      {"feed_era", feed.era},
+                      {"comparison", feed.is_comparison}},
+                     event_log::importance::kRoutine);
     has_gap_ = true;
     return pause_.Wake();
   }
-  if (next < *position_) return;
   const auto changes = UnpackChanges(feed.changes);
   if (!changes) {
     entry_.log.Write("feed_unreadable", {{"reason", changes.reason()}});
@@ -165,6 +200,7 @@
     ApplyOrRemove({change.key, change.value}, now, delay);
   }
   position_ = next;
+  needs_list_ = false;
   FinishRead(now - feed.age);
 }
 
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -7,6 +7,7 @@
 
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
+#include "entry/registration_read.h"
 #include "platform/store_client.h"
 #include "waxwingwing/directory/registration_poll_interval.h"
 #include "waxwingwing/peer/messages.h"
@@ -24,11 +25,8 @@
     std::function<bool()> sends_orders;
     /// Whether the controller, another VM, forwards the changes it reads.
     std::function<bool()> is_feed_current;
-    /// Called with the changes of a read, its first place and the offset after it, and when it was
-    /// sent.
-    std::function<void(store_position from, std::uint64_t next,
-                       const std::vector<registration_message>& changes, time_point sent_at)>
-        on_read;
+    /// Called after each read.
+    std::function<void(const registration_read& read)> on_read;
     /// Called after the directory has changed.
     std::function<void()> on_change;
   };
@@ -44,6 +42,9 @@
  private:
   /// Reads the newest registration of every server and removes servers that are not listed.
   awaitable<bool> ReadAll();
+  /// Applies the newest registration of every server and returns what has changed.
+  std::vector<registration_message> ApplyList(const store_page& page, time_point now,
+                                              duration removal_delay);
   /// Reads the records that follow `position_`.
   awaitable<bool> ReadUpdates();
   void Apply(const store_record& record, time_point now);
@@ -52,6 +53,8 @@
   /// Applies a record; returns true for a removal or when the directory changed.
   bool ApplyOrRemove(const store_record& record, time_point now, duration removal_delay);
   void FinishRead(time_point sent_at);
+  /// Whether a feed leads on from what this VM knows.
+  bool JoinsOn(const directory_feed_message& feed) const;
 
   entry_context& entry_;
   store_client& store_;
@@ -59,7 +62,10 @@
   registration_poll_interval poll_interval_;
   wakeable_pause pause_;
   dependency_health health_;
+  /// Place up to which this VM knows the registrations.
   std::optional<store_position> position_;
+  /// Whether records after `position_` were deleted before this VM has read them.
+  bool needs_list_ = false;
   std::optional<store_era> era_;
   /// When the first answer of the store since it was restored was read.
   std::optional<time_point> restored_at_;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -194,9 +194,7 @@
     directory_controller::hooks hooks;
     hooks.sends_orders = [this] { return election_.HoldsControllerRole(); };
     hooks.is_feed_current = [this] { return link_.IsFeedCurrent(); };
-    hooks.on_read = [this](store_position from, std::uint64_t next,
-                           const std::vector<registration_message>& changes,
-                           time_point sent_at) { link_.Publish(from, next, changes, sent_at); };
+    hooks.on_read = [this](const registration_read& read) { link_.Publish(read); };
     hooks.on_change = [this] { UpdateDispatch(); };
     return hooks;
   }
--- a/tests/unit/configuration_controller_test.cc
+++ b/tests/unit/configuration_controller_test.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <utility>
 
+#include "tests/unit/encode_base64.h"
 #include "tests/unit/run_awaitable.h"
 #include "tests/unit/scripted_http_server.h"
 
@@ -37,22 +38,6 @@
   return PageOf(end, "config", ConfigurationText(version));
 }
 
-std::string EncodeBase64(const std::string& text) {
-  static constexpr std::string_view kAlphabet =
-      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
-  std::string encoded;
-  for (std::size_t i = 0; i < text.size(); i += 3) {
-    std::uint32_t group = 0;
-    for (std::size_t j = i; j < i + 3; ++j) {
-      group = group << 8U | (j < text.size() ? static_cast<unsigned char>(text[j]) : 0U);
-    }
-    for (std::size_t j = 0; j < 4; ++j) {
-      encoded += i + j <= text.size() ? kAlphabet[group >> (6 * (3 - j)) & 63U] : '=';
-    }
-  }
-  return encoded;
-}
-
 /// The newest records of a stream: a configuration and, if `evacuated`, the request to evacuate a
 /// domain.
 std::string Newest(std::uint64_t end, int version, bool evacuated = false) {
--- a/tests/unit/directory_controller_test.cc
+++ b/tests/unit/directory_controller_test.cc
@@ -1,11 +1,15 @@
 #include "entry/directory_controller.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
+#include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
+#include "tests/unit/encode_base64.h"
 #include "tests/unit/run_awaitable.h"
 #include "tests/unit/scripted_http_server.h"
 
@@ -20,20 +24,23 @@
   return text;
 }
 
+std::string Registration(const std::string& state = "ready") {
+  return R"({"service":"desk","addr":"10.0.0.1:80","zone":"ifo","version":"v1","slots":4,"state":")" +
+         state + R"(","cold_left_ms":0,"born":1,"seq":1})";
+}
+
 /// A page of the store that ends at `end` with one registration.
 std::string Page(std::uint64_t end, const std::string& id) {
-  const std::string record =
-      static_cast<char>(id.size()) + id +
-      R"({"service":"desk","addr":"10.0.0.1:80","zone":"ifo","version":"v1","slots":4,)"
-      R"("state":"ready","cold_left_ms":0,"born":1,"seq":1})";
+  const std::string record = static_cast<char>(id.size()) + id + Registration();
   return BigEndian(end, 8) + BigEndian(0, 8) + BigEndian(record.size(), 4) + record;
 }
 
 std::string Empty(std::uint64_t end) { return BigEndian(end, 8) + BigEndian(0, 8); }
 
 /// An answer of the store in one of its eras.
-scripted_http_server::step InEra(int era, std::string body) {
+scripted_http_server::step InEra(int era, std::string body, std::uint32_t status = 200) {
   scripted_http_server::step answer;
+  answer.status = status;
   answer.body = std::move(body);
   answer.headers = {{"Store-Era", std::to_string(era)}};
   return answer;
@@ -44,8 +51,7 @@
     directory_controller::hooks hooks;
     hooks.sends_orders = [this] { return reads_itself; };
     hooks.is_feed_current = [this] { return !reads_itself; };
-    hooks.on_read = [](store_position, std::uint64_t, const std::vector<registration_message>&,
-                       time_point) {};
+    hooks.on_read = [this](const registration_read& read) { reads.push_back(read); };
     hooks.on_change = [] {};
     return hooks;
   }
@@ -65,9 +71,26 @@
   http_client http{&metrics};
   store_client store{http, server.address(), 12};
   bool reads_itself = true;
+  std::vector<registration_read> reads;
   directory_controller directory{entry, store, Hooks()};
 };
 
+/// The newest registrations: of each id its value.
+std::string Newest(std::uint64_t end, const std::map<std::string, std::string>& registrations) {
+  std::string items;
+  for (const auto& [id, value] : registrations) {
+    items += (items.empty() ? "" : ",") + std::string(R"({"key":")") + id + R"(","value":")" +
+             EncodeBase64(value) + R"("})";
+  }
+  return R"({"end":)" + std::to_string(end) + R"(,"has_more":false,"items":[)" + items + "]}";
+}
+
+bool Contains(const registration_read& read, const std::string& id, bool has_value) {
+  return std::any_of(read.changes.begin(), read.changes.end(), [&](const auto& change) {
+    return change.key == id && change.value.has_value() == has_value;
+  });
+}
+
 constexpr const char* kNewest = R"({"end":5,"has_more":false,"items":[]})";
 
 // Guards against servers that are never found: after a restore of the store more was written again
@@ -117,5 +140,85 @@
   }
 }
 
+// Guards against requests to servers that have left, and against new servers and groups that only
+// the controller knows: the store deletes records before the controller has read them.
+TEST_CASE("the controller passes on what has changed while records were deleted", "[entry]") {
+  directory_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, {{"leaving", Registration()},
+                                         {"removed", Registration()},
+                                         {"same", Registration()}})));
+  fixture.server.Add(InEra(1, R"({"first":9})", 410));
+  fixture.server.Add(InEra(1, Newest(9, {{"leaving", Registration("draining")},
+                                         {"new", Registration()},
+                                         {"same", Registration()}})));
+  fixture.Start();
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.reads.size() >= 2; }));
+  const registration_read& read = fixture.reads[1];
+  CHECK(read.next == store_position{store_era(1), 9});
+  CHECK(read.coverage == read_coverage::kComparison);
+  CHECK(read.from == store_position{store_era(1), 5});
+  CHECK(read.changes.size() == 3);
+  CHECK(Contains(read, "leaving", true));
+  CHECK(Contains(read, "new", true));
+  CHECK(Contains(read, "removed", false));
+}
+
+// Guards against changes that are lost since the first list after a deletion could not be read.
+TEST_CASE("a list that is read at the second attempt is compared with the same place", "[entry]") {
+  directory_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, {{"removed", Registration()}})));
+  fixture.server.Add(InEra(1, R"({"first":9})", 410));
+  fixture.server.Add(InEra(1, "{}", 503));
+  fixture.server.Add(InEra(1, Newest(9, {})));
+  fixture.Start();
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.reads.size() >= 2; }));
+  CHECK(fixture.reads[1].from == store_position{store_era(1), 5});
+  CHECK(Contains(fixture.reads[1], "removed", false));
+}
+
+TEST_CASE("a first list, and one of another era, is not compared with an earlier place",
+          "[entry]") {
+  directory_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, {{"a", Registration()}})));
+  fixture.server.Add(InEra(2, R"({"first":9})", 410));
+  fixture.server.Add(InEra(2, Newest(9, {})));
+  fixture.Start();
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.reads.size() >= 2; }));
+  for (const registration_read& read : fixture.reads) {
+    CHECK(read.coverage == read_coverage::kUnknown);
+  }
+}
+
+// Guards against servers that a VM never finds again: it had read their removal itself, and the
+// comparison of the lists before and after a deletion does not show that they are back.
+TEST_CASE("a VM that has read records in between does not join on to a comparison", "[entry]") {
+  directory_fixture fixture;
+  fixture.reads_itself = false;
+  fixture.server.Add(InEra(1, kNewest));
+  fixture.Start();
+  REQUIRE(
+      RunUntil(fixture.context, [&] { return fixture.state.directory_confirmed_at.has_value(); }));
+  directory_feed_message feed;
+  feed.era = 1;
+  feed.next = 9;
+  feed.is_comparison = true;
+  feed.changes = PackChanges({{"a", Registration()}});
+  SECTION("from the VM's place") {
+    feed.from = 5;
+    fixture.directory.OnFeed(feed);
+    CHECK(fixture.state.directory.Find(backend_server_id("a")) != nullptr);
+  }
+  SECTION("from an earlier place") {
+    feed.from = 4;
+    fixture.server.Add(InEra(1, R"({"first":9})", 410));
+    fixture.server.Add(InEra(1, Newest(9, {{"b", Registration()}})));
+    fixture.directory.OnFeed(feed);
+    CHECK(fixture.state.directory.Find(backend_server_id("a")) == nullptr);
+    CHECK(RunUntil(fixture.context, [&] {
+      return fixture.state.directory.Find(backend_server_id("b")) != nullptr;
+    }));
+  }
+}
+
 }  // namespace
 }  // namespace waxwingwing
