Feeds: changes that are read without the controller's role are not taken as passed on

What callers would see: requests to a server that has left, from all VMs but the controller. Cause: a read that ends while the role has lapsed for a moment, as after a late renewal, applied its changes and sent no feed; the next feed led on from the last one, so that followers joined on. Change: feed_sequence decides from which place a feed leads on, and remembers unsent changes; the feed after them begins at its own read, and VMs behind it read the store. Why it works: followers compare the place of a feed with their own and read what lies in between.

--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -129,7 +129,7 @@
 
 void controller_link::Follow(time_point now) {
   // A controller that stops still has to announce the release of its lease.
-  if (!entry_.state.stopping) published_.reset();
+  if (!entry_.state.stopping) feeds_.Reset();
   relays_.clear();
   parents_.SetController(Controller());
   const bool silent = IsParentSilent(now);
@@ -294,26 +294,16 @@
 }
 
 void controller_link::Publish(const registration_read& read) {
-  if (!election_.HoldsControllerRole()) return;
+  if (!election_.HoldsControllerRole()) return feeds_.RecordUnsent(read);
   read_sent_at_ = read.sent_at;
   const bool due = !published_at_ || entry_.clock.Now() - *published_at_ >= kFeedInterval;
-  const bool continues = published_ && published_->era == read.from.era;
-  const bool is_empty = read.coverage == read_coverage::kRecords && read.changes.empty();
-  if (continues && is_empty && !due) return;
-  registration_read published = read;
-  if (read.coverage == read_coverage::kUnknown) {
-    published.from = read.next;
-    published.changes.clear();
-  } else if (continues) {
-    // Reads skipped since the last feed changed nothing, so this feed covers them, too.
-    published.from = std::min(*published_, read.from);
-  }
-  BroadcastFeed(published);
+  if (!due && feeds_.Covers(read)) return;
+  BroadcastFeed(feeds_.Next(read));
 }
 
 void controller_link::BroadcastLoads() {
-  if (!published_) return;
-  BroadcastFeed({read_coverage::kRecords, *published_, *published_, {}, read_sent_at_});
+  const auto& place = feeds_.place();
+  if (place) BroadcastFeed({read_coverage::kRecords, *place, *place, {}, read_sent_at_});
 }
 
 void controller_link::BroadcastFeed(const registration_read& read) {
@@ -340,7 +330,6 @@
   feed.operators_era = operators.next.era.get();
   feed.operators_age = AgeOf(operators.confirmed_at, now);
   feed.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
-  published_ = read.next;
   published_at_ = now;
   Broadcast(std::move(feed));
   NotifyOtherRequests(all, vms);
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -11,6 +11,7 @@
 #include "entry/controller_election.h"
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
+#include "entry/feed_sequence.h"
 #include "entry/operators_view.h"
 #include "entry/registration_read.h"
 #include "waxwingwing/core/random_source.h"
@@ -142,8 +143,8 @@
   std::uint64_t sequence_;
   /// The relays that this VM has appointed as the controller.
   std::vector<relay_node> relays_;
-  /// Where the next feed of this VM as the controller begins.
-  std::optional<store_position> published_;
+  /// What this VM's feeds as the controller have said of the registrations.
+  feed_sequence feeds_;
   std::optional<time_point> published_at_;
   /// When this VM sent its last successful read of the registrations.
   time_point read_sent_at_{};
