Stall notices: a controller goes on with the oldest notice that the store has kept

What callers would see: streams of a stalled group wait until VMs without a link to the controller have one again, since it reads none of their notices. Cause: a new controller looked up the end of the stream at offset 0. Once the first notice had expired (20 s on the users' sites), the store answered 410, and the controller asked for offset 0 again, without end. After a deletion it went to the end and skipped the notices that were left. Change: the store client reads which record is the oldest one left; the channel goes on there, and starts anew only when the store does not say. The deletion is logged. Why it works: the next read begins at a record that the store has.

--- a/src/entry/stall_notice_channel.cc
+++ b/src/entry/stall_notice_channel.cc
@@ -40,6 +40,20 @@
                                          {"reason", sent ? std::string() : sent.reason()}});
 }
 
+void stall_notice_channel::SkipDeleted(const store_page& page) {
+  oldest_ = page.first.value_or(0);
+  const bool goes_on = position_ && page.era == position_->era && oldest_ > position_->offset;
+  entry_.log.Write("history_trimmed", {{"stream", "stalls"},
+                                       {"offset", position_ ? position_->offset : 0},
+                                       {"first", oldest_},
+                                       {"store_era", page.era.get()}});
+  if (goes_on) {
+    position_->offset = oldest_;
+  } else {
+    position_.reset();
+  }
+}
+
 awaitable<void> stall_notice_channel::Run() {
   for (;;) {
     if (!is_controller_()) {
@@ -48,7 +62,7 @@
       continue;
     }
     // Notices from before this VM became the controller are out of date: start at the end.
-    const std::uint64_t from = position_ ? position_->offset : 0;
+    const std::uint64_t from = position_ ? position_->offset : oldest_;
     const auto page = co_await store_.ReadFrom(store_stream::kStalls, from,
                                                position_ ? kReadWait : milliseconds(0));
     if (!page) {
@@ -56,7 +70,7 @@
       continue;
     }
     if (page->trimmed || (position_ && page->era != position_->era)) {
-      position_.reset();
+      SkipDeleted(*page);
       co_await Pause(entry_.context, kRetryPause);
       continue;
     }
--- a/src/entry/stall_notice_channel.h
+++ b/src/entry/stall_notice_channel.h
@@ -26,13 +26,18 @@
 
  private:
   awaitable<void> Send(server_group_id group);
+  /// Continues with the oldest record that is left, or looks up the end of the stream anew.
+  void SkipDeleted(const store_page& page);
 
   entry_context& entry_;
   store_client& store_;
   const std::function<bool()> is_controller_;
   const std::function<void(const server_group_id&)> on_stall_;
   std::map<server_group_id, time_point> reported_;
+  /// Where the next read begins; none until the end of the stream is known.
   std::optional<store_position> position_;
+  /// Offset from which the end of the stream is looked up; no earlier record is left.
+  std::uint64_t oldest_ = 0;
 };
 
 }  // namespace waxwingwing
