--- a/include/waxwingwing/directory/traffic_configuration.h
+++ b/include/waxwingwing/directory/traffic_configuration.h
@@ -118,6 +118,8 @@
 
   void AddRoute(traffic_route route);
   void AddService(service_settings service);
+  /// States that requests need the key of an organisation, also while there is none.
+  void RequireKeys() { needs_keys_ = true; }
   void AddOrganisation(caller_organisation organisation, const std::vector<std::string>& keys);
 
   /// Returns the route of `host` with the longest prefix of `path`; null when none matches.
@@ -129,12 +131,14 @@
   bool HasPriorities(const service_id& service) const;
   const std::vector<service_settings>& services() const { return services_; }
   /// Whether requests to routes that are not anonymous require an API key.
-  bool NeedsKeys() const { return !organisations_.empty(); }
+  bool NeedsKeys() const { return needs_keys_; }
+  std::size_t OrganisationCount() const { return organisations_.size(); }
   std::size_t RouteCount() const { return route_count_; }
 
  private:
   std::unordered_map<std::string, std::vector<traffic_route>> routes_by_host_;
   std::vector<service_settings> services_;
+  bool needs_keys_ = false;
   std::vector<caller_organisation> organisations_;
   std::unordered_map<std::string, std::size_t> organisation_by_key_;
   std::map<service_id, std::set<std::uint32_t>> route_priorities_;
--- a/src/directory/traffic_configuration.cc
+++ b/src/directory/traffic_configuration.cc
@@ -29,6 +29,7 @@
 
 void traffic_configuration::AddOrganisation(caller_organisation organisation,
                                             const std::vector<std::string>& keys) {
+  RequireKeys();
   for (const std::string& key : keys) organisation_by_key_[key] = organisations_.size();
   organisations_.push_back(std::move(organisation));
 }
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -210,7 +210,9 @@
   if (current && (*decoded)->version <= current->version) return;
   entry_.log.Write("configuration_changed", {{"version", (*decoded)->version},
                                              {"previous", current ? current->version : 0},
-                                             {"routes", (*decoded)->RouteCount()}});
+                                             {"routes", (*decoded)->RouteCount()},
+                                             {"organisations", (*decoded)->OrganisationCount()},
+                                             {"needs_keys", (*decoded)->NeedsKeys()}});
   entry_.metrics.Gauge("waxwingwing_configuration_version")
       .Set(static_cast<std::int64_t>((*decoded)->version));
   entry_.state.configuration = *decoded;
--- a/tests/integration/entry_test.cc
+++ b/tests/integration/entry_test.cc
@@ -208,6 +208,21 @@
                 milliseconds(1000)));
 }
 
+// Guards against requests that run with any key, since the operators have taken away the last
+// organisation.
+TEST_CASE("entry: no key passes after the last organisation was taken away", "[entry]") {
+  entry_deployment deployment({});
+  deployment.WaitUntilServing();
+  auto next = deployment.Configuration(9);
+  next["tenants"] = nlohmann::json::array();
+  deployment.WriteConfiguration(next);
+  std::this_thread::sleep_for(milliseconds(2000));
+  const std::size_t before = deployment.Records(deployment.service(), "runs").size();
+  CHECK(deployment.Call("GET", "/lookup/x")->status == 401);
+  CHECK(deployment.Call("GET", "/lookup/x", {{"Api-Key", "never-held"}})->status == 401);
+  CHECK(deployment.Records(deployment.service(), "runs").size() == before);
+}
+
 TEST_CASE("entry: a failure domain that is evacuated gets nothing and is taken back", "[entry]") {
   entry_deployment deployment({});
   deployment.WaitUntilServing();
