Configuration: a list of organisations or keys that cannot be read is refused

What callers would see: requests with any key, where the list of organisations is null. Cause: a field with the value null counted as absent; of the keys of an organisation, those of another type were left out without a word. Change: json_fields tells an absent field from null; such lists are faults of the configuration.

--- a/include/waxwingwing/platform/json_fields.h
+++ b/include/waxwingwing/platform/json_fields.h
@@ -39,7 +39,10 @@
   const nlohmann::json& Array(const char* key);
   /// The value of a field, or null when it is missing.
   const nlohmann::json& Value(const char* key) const;
+  /// Whether there is a value other than null.
   bool Has(const char* key) const { return !Value(key).is_null(); }
+  /// Whether the field is there, also when it is null.
+  bool Contains(const char* key) const { return object_.is_object() && object_.contains(key); }
 
   void AddFinding(const char* key, std::string message);
   std::string FieldPath(const char* key) const { return place_ + "." + key; }
--- a/tests/unit/allow_lists_test.cc
+++ b/tests/unit/allow_lists_test.cc
@@ -33,5 +33,31 @@
   CHECK(!(*absent)->NeedsKeys());
 }
 
+// Guards against requests that run with any key, since the list of organisations is there but no
+// list.
+TEST_CASE("a list of organisations or keys that cannot be read is not an absent one",
+          "[platform]") {
+  const json unreadable = GENERATE(json(nullptr), json("k1"), json(7), json(true), json::object());
+  json record = ConfigurationRecord();
+  SECTION("organisations") { record["tenants"] = unreadable; }
+  SECTION("one organisation") { record["tenants"] = json::array({unreadable}); }
+  SECTION("keys") { record["tenants"][0]["api_keys"] = unreadable; }
+  SECTION("one key") {
+    const json no_text = unreadable.is_string() ? json(nullptr) : unreadable;
+    record["tenants"][0]["api_keys"] = json::array({"k1", no_text});
+  }
+  CHECK(!DecodeConfiguration(record.dump()));
+}
+
+TEST_CASE("an organisation without keys lets no key pass", "[platform]") {
+  json record = ConfigurationRecord();
+  SECTION("absent") { record["tenants"][0].erase("api_keys"); }
+  SECTION("empty") { record["tenants"][0]["api_keys"] = json::array(); }
+  const auto decoded = DecodeConfiguration(record.dump());
+  REQUIRE(decoded);
+  CHECK((*decoded)->NeedsKeys());
+  CHECK((*decoded)->OrganisationOf("k1") == nullptr);
+}
+
 }  // namespace
 }  // namespace waxwingwing
