Keys: a request without a key belongs to no organisation

What callers would see: requests without a key run for an organisation whose list of keys holds an empty text. Cause: an absent key was looked up as an empty text. Change: an empty text is no key. Failed before: "an empty text is no key".

--- a/src/directory/traffic_configuration.cc
+++ b/src/directory/traffic_configuration.cc
@@ -45,6 +45,8 @@
 }
 
 const caller_organisation* traffic_configuration::OrganisationOf(std::string_view key) const {
+  // A request without a key has an empty one.
+  if (key.empty()) return nullptr;
   const auto found = organisation_by_key_.find(std::string(key));
   return found == organisation_by_key_.end() ? nullptr : &organisations_[found->second];
 }
--- a/tests/unit/allow_lists_test.cc
+++ b/tests/unit/allow_lists_test.cc
@@ -59,5 +59,15 @@
   CHECK((*decoded)->OrganisationOf("k1") == nullptr);
 }
 
+// Guards against requests without a key that run for an organisation whose list holds an empty text.
+TEST_CASE("an empty text is no key", "[platform]") {
+  json record = ConfigurationRecord();
+  record["tenants"][0]["api_keys"] = {"", "k1"};
+  const auto decoded = DecodeConfiguration(record.dump());
+  REQUIRE(decoded);
+  CHECK((*decoded)->OrganisationOf("") == nullptr);
+  CHECK((*decoded)->OrganisationOf("k1") != nullptr);
+}
+
 }  // namespace
 }  // namespace waxwingwing
