--- a/tests/unit/allow_lists_test.cc
+++ b/tests/unit/allow_lists_test.cc
@@ -69,5 +69,20 @@
   CHECK((*decoded)->OrganisationOf("k1") != nullptr);
 }
 
+// Guards against joins of a server to another group while its group is open: a group that cannot be
+// read is not the statement that the server is in none.
+TEST_CASE("a registration whose group cannot be read yields no server", "[platform]") {
+  json record = json::parse(R"({"service":"pool","addr":"10.0.0.9:80","zone":"ifo","slots":26,
+      "state":"ready","seq":4})");
+  REQUIRE(DecodeServer("i-1", record.dump()));
+  record["group"] = nullptr;
+  const auto ungrouped = DecodeServer("i-1", record.dump());
+  REQUIRE(ungrouped);
+  CHECK(!ungrouped->membership);
+  record["group"] = GENERATE(json("g"), json(7), json(false), json::array(), json::object());
+  CHECK(!DecodeServer("i-1", record.dump()));
+  CHECK(!DecodeReport(json{{"group", record["group"]}}.dump()));
+}
+
 }  // namespace
 }  // namespace waxwingwing
