Registrations: a VM starts with the readable pages of the list

What callers would see: no VM is ever ready, since the store refuses one page of the list or its last key cannot be gone on from. A list of over 200 pages was used as if it were complete, so that servers on later pages were removed. Cause: one page after the first one failed the whole list, which was read again and again. Change: the store client returns the pages that it has, with the reason. After three attempts a VM uses them and reads the records itself for 2.5 s, in which running servers register again; servers that it knew on a missing page are removed after that time. Operators' records must be complete as before. Why it works: what the missing pages hold of running servers is written again, as after an outage. Failed before, with the old rules: "the pages of a list before one that cannot be read are kept", "a list of too many pages is not complete", "a VM starts with a part of the list and follows the records", "servers on a missing page are removed only when they do not register again" (8 assertions).

--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -78,8 +78,8 @@
 awaitable<bool> configuration_controller::ReadAll() {
   const time_point sent_at = entry_.clock.Now();
   const auto page = co_await store_.ReadNewest(store_stream::kOperators);
-  if (!page) {
-    health_.Failed(page.reason());
+  if (!page || !page->missing_reason.empty()) {
+    health_.Failed(page ? page->missing_reason : page.reason());
     co_return false;
   }
   health_.Succeeded();
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -24,6 +24,8 @@
 constexpr milliseconds kReregistrationTime{2500};
 /// Time without a successful read after which removals may be an effect of a store outage.
 constexpr milliseconds kOutageThreshold{3000};
+/// Attempts to read the list after which an incomplete one is used.
+constexpr int kListAttempts = 3;
 
 }  // namespace
 
@@ -39,7 +41,8 @@
   milliseconds retry_pause = kRetryPause;
   for (;;) {
     milliseconds pause = kFeedCheckInterval;
-    if (!position_ || has_gap_ || hooks_.sends_orders() || !hooks_.is_feed_current()) {
+    if (!position_ || has_gap_ || AwaitsEntries(entry_.clock.Now()) || hooks_.sends_orders() ||
+        !hooks_.is_feed_current()) {
       has_gap_ = false;
       bool read = false;
       if (position_ && !needs_list_) {
@@ -84,20 +87,24 @@
     health_.Failed(page.reason());
     co_return false;
   }
+  if (!MayUse(*page)) co_return false;
+  const bool is_complete = page->missing_reason.empty();
   const time_point now = entry_.clock.Now();
   // The copy lacks servers that have registered since it was made; they register again.
   if (era_ && page->era != *era_) restored_at_ = now;
   era_ = page->era;
-  const duration delay = RemovalDelay(now);
+  const duration delay = is_complete ? RemovalDelay(now) : kReregistrationTime;
   health_.Succeeded();
+  if (!is_complete) awaits_entries_until_ = now + kReregistrationTime;
   registration_read read{read_coverage::kUnknown, {}, {page->era, page->next}, {}, sent_at};
   read.changes = ApplyList(*page, now, delay);
-  if (position_ && position_->era == page->era) {
+  if (is_complete && position_ && position_->era == page->era) {
     read.coverage = read_coverage::kComparison;
     read.from = *position_;
   }
   entry_.log.Write("registrations_listed", {{"servers", entry_.state.directory.entries().size()},
                                             {"changes", read.changes.size()},
+                                            {"missing", page->missing_reason},
                                             {"from", read.from.offset},
                                             {"next", read.next.offset},
                                             {"era", read.next.era.get()}});
@@ -108,6 +115,17 @@
   co_return true;
 }
 
+bool directory_controller::MayUse(const store_page& page) {
+  if (page.missing_reason.empty()) {
+    incomplete_lists_ = 0;
+    return true;
+  }
+  health_.Failed(page.missing_reason);
+  if (++incomplete_lists_ < kListAttempts) return false;
+  incomplete_lists_ = 0;
+  return true;
+}
+
 std::vector<registration_message> directory_controller::ApplyList(const store_page& page,
                                                                   time_point now,
                                                                   duration removal_delay) {
@@ -173,6 +191,7 @@
 void directory_controller::OnFeed(const directory_feed_message& feed) {
   const store_position next{store_era(feed.era), feed.next};
   if (position_ && next < *position_) return;
+  if (AwaitsEntries(entry_.clock.Now())) return;
   // What is missing in between must be read from the store.
   if (!JoinsOn(feed) && next != position_) {
     entry_.metrics.Counter("waxwingwing_directory_gaps_total").Increment();
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -53,6 +53,11 @@
   /// Applies a record; returns true for a removal or when the directory changed.
   bool ApplyOrRemove(const store_record& record, time_point now, duration removal_delay);
   void FinishRead(time_point sent_at);
+  /// Records the outcome of an attempt to read the list; whether an incomplete one is used.
+  bool MayUse(const store_page& page);
+  /// Whether this VM follows the records itself, since its list was incomplete: servers write their
+  /// entries again, of which feeds say nothing.
+  bool AwaitsEntries(time_point now) const { return awaits_entries_until_ > now; }
   /// Whether a feed leads on from what this VM knows.
   bool JoinsOn(const directory_feed_message& feed) const;
 
@@ -64,6 +69,9 @@
   dependency_health health_;
   /// Place up to which this VM knows the registrations.
   std::optional<store_position> position_;
+  /// Number of attempts in succession after which the list was incomplete.
+  int incomplete_lists_ = 0;
+  time_point awaits_entries_until_{};
   /// Whether records after `position_` were deleted before this VM has read them.
   bool needs_list_ = false;
   std::optional<store_era> era_;
--- a/src/entry/usage_controller.cc
+++ b/src/entry/usage_controller.cc
@@ -95,8 +95,8 @@
 
 awaitable<void> usage_controller::Read() {
   const auto page = co_await store_.ReadNewest(store_stream::kUsage);
-  if (!page) {
-    store_health_.Failed(page.reason());
+  if (!page || !page->missing_reason.empty()) {
+    store_health_.Failed(page ? page->missing_reason : page.reason());
     ledger_.RecordStoreFailure(Time());
     co_return;
   }
--- a/tests/unit/directory_controller_test.cc
+++ b/tests/unit/directory_controller_test.cc
@@ -75,14 +75,16 @@
   directory_controller directory{entry, store, Hooks()};
 };
 
-/// The newest registrations: of each id its value.
-std::string Newest(std::uint64_t end, const std::map<std::string, std::string>& registrations) {
+/// The newest registrations: of each id its value. Others follow if `has_more`.
+std::string Newest(std::uint64_t end, const std::map<std::string, std::string>& registrations,
+                   bool has_more = false) {
   std::string items;
   for (const auto& [id, value] : registrations) {
     items += (items.empty() ? "" : ",") + std::string(R"({"key":")") + id + R"(","value":")" +
              EncodeBase64(value) + R"("})";
   }
-  return R"({"end":)" + std::to_string(end) + R"(,"has_more":false,"items":[)" + items + "]}";
+  return R"({"end":)" + std::to_string(end) + R"(,"has_more":)" + (has_more ? "true" : "false") +
+         R"(,"items":[)" + items + "]}";
 }
 
 bool Contains(const registration_read& read, const std::string& id, bool has_value) {
@@ -220,5 +222,58 @@
   }
 }
 
+// Guards against VMs that never start because the store refuses one page of the list.
+TEST_CASE("a VM starts with a part of the list and follows the records", "[entry]") {
+  directory_fixture fixture;
+  fixture.reads_itself = false;
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    fixture.server.Add(InEra(1, Newest(5, {{"a", Registration()}}, true)));
+    fixture.server.Add(InEra(1, "{}", 503));
+  }
+  fixture.server.Add(InEra(1, Page(6, "z")));
+  fixture.Start();
+  const auto knows = [&](const char* id) {
+    return fixture.state.directory.Find(backend_server_id(id)) != nullptr;
+  };
+  REQUIRE(RunUntil(fixture.context, [&] { return knows("z"); }));
+  CHECK(knows("a"));
+  CHECK(fixture.server.seen()[6].target.starts_with("/v1/log-read"));
+  CHECK(fixture.reads[0].coverage == read_coverage::kUnknown);
+  // The other VMs know the servers of the missing page, so that feeds do not name them.
+  directory_feed_message feed;
+  feed.era = 1;
+  feed.from = 5;
+  feed.next = 9;
+  fixture.directory.OnFeed(feed);
+  fixture.server.Add(InEra(1, Page(7, "y")));
+  CHECK(RunUntil(fixture.context, [&] { return knows("y"); }));
+  CHECK(fixture.server.seen()[7].target.find("from=6") != std::string::npos);
+}
+
+// Guards against the removal of running servers that are on a page which the store has refused.
+TEST_CASE("servers on a missing page are removed only when they do not register again", "[entry]") {
+  directory_fixture fixture;
+  fixture.server.Add(InEra(
+      1, Newest(5, {{"a", Registration()}, {"gone", Registration()}, {"z", Registration()}})));
+  fixture.server.Add(InEra(1, R"({"first":9})", 410));
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    fixture.server.Add(InEra(1, Newest(9, {{"a", Registration()}}, true)));
+    fixture.server.Add(InEra(1, "{}", 503));
+  }
+  fixture.server.Add(InEra(1, Page(10, "z")));
+  fixture.Start();
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.reads.size() >= 3; }));
+  const auto knows = [&](const char* id) {
+    return fixture.state.directory.Find(backend_server_id(id)) != nullptr;
+  };
+  CHECK(knows("z"));
+  CHECK(knows("gone"));
+  fixture.clock.Advance(std::chrono::seconds(3));
+  fixture.server.Add(InEra(1, Empty(10)));
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.reads.size() >= 4; }));
+  CHECK(knows("z"));
+  CHECK(!knows("gone"));
+}
+
 }  // namespace
 }  // namespace waxwingwing
--- a/tests/unit/store_client_test.cc
+++ b/tests/unit/store_client_test.cc
@@ -52,5 +52,41 @@
         "/v1/log-newest?topic=keyed.servers&part=0&after=" + shown.encoded);
 }
 
+// Guards against VMs that never start because of one page: what the pages before it hold is known.
+TEST_CASE("the pages of a list before one that cannot be read are kept", "[platform]") {
+  store_fixture fixture;
+  fixture.server.Add({200, PageWith("a", true)});
+  SECTION("refused") { fixture.server.Add({503, "{}"}); }
+  SECTION("malformed") { fixture.server.Add({200, "{"}); }
+  SECTION("without a key to go on from") {
+    fixture.server.Add({200, R"({"end":9,"has_more":true,"items":[{"key":7}]})"});
+  }
+  SECTION("that does not say whether it is the last one") {
+    fixture.server.Add({200, R"({"end":9,"items":[]})"});
+  }
+  SECTION("the same again") { fixture.server.Add({200, PageWith("a", true)}); }
+  const auto page = fixture.ReadNewest();
+  REQUIRE(page);
+  CHECK(page->records.front().key == "a");
+  CHECK(page->next == 9);
+  CHECK(!page->missing_reason.empty());
+}
+
+TEST_CASE("a list whose first page cannot be read is not read", "[platform]") {
+  store_fixture fixture;
+  fixture.server.Add({503, "{}"});
+  CHECK(!fixture.ReadNewest());
+}
+
+// Guards against the removal of servers that are on a page after the last one that is read.
+TEST_CASE("a list of too many pages is not complete", "[platform]") {
+  store_fixture fixture;
+  for (int i = 0; i < 300; ++i) fixture.server.Add({200, PageWith(std::to_string(1000 + i), true)});
+  const auto page = fixture.ReadNewest();
+  REQUIRE(page);
+  CHECK(page->records.size() < 300);
+  CHECK(!page->missing_reason.empty());
+}
+
 }  // namespace
 }  // namespace waxwingwing
