Lists of the store: one key that is not UTF-8 hides no other entry

What callers would see: no VM is ever ready, once another writer has registered an entry whose key is not UTF-8, if the store writes its bytes into the page. Cause: the page was malformed JSON as a whole. Failed before: "a list is read on after a key of any bytes", with a key that is not UTF-8 (page not read).

--- a/tests/unit/store_client_test.cc
+++ b/tests/unit/store_client_test.cc
@@ -40,7 +40,8 @@
       example{"rack 5 slot 7", "rack 5 slot 7", "rack%205%20slot%207"},
       example{"a&after=z#b?+%41", "a&after=z#b?+%41", "a%26after%3Dz%23b%3F%2B%2541"},
       example{"a\r\nb", "a\\r\\nb", "a%0D%0Ab"}, example{"caf\xc3\xa9", "caf\\u00e9", "caf%C3%A9"},
-      example{"a\"/\\", "a\\\"/\\\\", "a%22%2F%5C"});
+      example{"a\"/\\", "a\\\"/\\\\", "a%22%2F%5C"},
+      example{"a\xff\xc3z", "a\xff\xc3z", "a%FF%C3z"});
   store_fixture fixture;
   fixture.server.Add({200, PageWith(shown.text, true)});
   fixture.server.Add({200, PageWith("z", false)});
