Headers: ids and names that cannot be sent in a header are refused

What callers would see: headers of another writer's choice in their requests. Cause: the id of a registration and the name of an organisation are written into headers; line breaks were not looked for on the way to a server, as they are for orders and calls.

--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -296,6 +296,20 @@
   CHECK(!DecodeServer("i-1", "\xff\xfe"));
 }
 
+// Guards against headers that another writer adds to requests: the id of a server, and the name of
+// an organisation, are sent in a header.
+TEST_CASE("texts that cannot be sent in a header are refused", "[platform]") {
+  const std::vector<std::string> bad_texts = {"a\r\nX: y", "a\nb", "a\tb", std::string("a\0b", 3),
+                                              "\x7f",      " a",   "a ",   ""};
+  for (const std::string& bad : bad_texts) {
+    CHECK(!DecodeServer(bad, ServerRecord().dump()));
+    json record = ConfigurationRecord();
+    record["tenants"][0]["name"] = bad;
+    CHECK(!DecodeConfiguration(record.dump()));
+  }
+  CHECK(DecodeServer("rack 5 caf\xc3\xa9", ServerRecord().dump()));
+}
+
 // Guards against times, counts and epochs out of a registration that overflow or use up the memory,
 // and against a server at a port to which nothing can connect.
 TEST_CASE("a registration with a number that is too large yields no server", "[platform]") {
