Feeds: records that a list may already show are passed on

What callers would see: requests to a server that has left, from VMs that follow the controller, on deployments whose list has several pages. Cause: a list is read on from the end of its first page. What a later page shows of records after that changes nothing at the controller when it reads them, so it passed them on to nobody. Change: records up to the end that the last page stated are passed on in any case. Failed before: "records that a list may already show are passed on as changes".

--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -109,6 +109,7 @@
                                             {"next", read.next.offset},
                                             {"era", read.next.era.get()}});
   position_ = read.next;
+  list_read_until_ = page->read_until;
   needs_list_ = false;
   hooks_.on_read(read);
   FinishRead(sent_at);
@@ -163,8 +164,11 @@
   health_.Succeeded();
   entry_.metrics.Counter("waxwingwing_registrations_read_total").Increment(page->records.size());
   registration_read read{read_coverage::kRecords, *position_, {page->era, page->next}, {}, sent_at};
+  std::uint64_t offset = position_->offset;
   for (const store_record& record : page->records) {
-    if (ApplyOrRemove(record, now, delay)) read.changes.push_back({record.key, record.value});
+    const bool may_be_listed = offset++ < list_read_until_;
+    const bool has_changed = ApplyOrRemove(record, now, delay);
+    if (has_changed || may_be_listed) read.changes.push_back({record.key, record.value});
   }
   position_ = read.next;
   hooks_.on_read(read);
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -69,6 +69,9 @@
   dependency_health health_;
   /// Place up to which this VM knows the registrations.
   std::optional<store_position> position_;
+  /// Offset up to which the records after the last list may change nothing here, since a later page
+  /// of the list has shown them already; the other VMs have not seen that page.
+  std::uint64_t list_read_until_ = 0;
   /// Number of attempts in succession after which the list was incomplete.
   int incomplete_lists_ = 0;
   time_point awaits_entries_until_{};
--- a/tests/unit/directory_controller_test.cc
+++ b/tests/unit/directory_controller_test.cc
@@ -275,5 +275,19 @@
   CHECK(!knows("gone"));
 }
 
+// Guards against changes that only the controller knows: it found them on a later page of a list,
+// so that their records, which it reads afterwards, change nothing.
+TEST_CASE("records that a list may already show are passed on as changes", "[entry]") {
+  directory_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, {{"a", Registration()}}, true)));
+  fixture.server.Add(InEra(1, Newest(6, {{"b", Registration()}})));
+  fixture.server.Add(InEra(1, Page(6, "b")));
+  fixture.server.Add(InEra(1, Page(7, "b")));
+  fixture.Start();
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.reads.size() >= 3; }));
+  CHECK(Contains(fixture.reads[1], "b", true));
+  CHECK(fixture.reads[2].changes.empty());
+}
+
 }  // namespace
 }  // namespace waxwingwing
