Keys: not confirmed while the newest configuration cannot be read

What callers would see: a key that is taken away in a version that VMs cannot read is accepted for ever. Cause: a read that returned an unreadable configuration confirmed the keys of the one before it. Change: it confirms nothing until a configuration can be read; the last one stays in force until its keys lapse, as while the store is away. Failed before: "keys are not confirmed while the newest configuration cannot be read".

--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -109,6 +109,8 @@
 bool configuration_controller::MayConfirm() const {
   // Without a configuration there is nothing whose age could be confirmed.
   if (!entry_.state.configuration) return false;
+  // The newest one may have taken keys away.
+  if (is_newest_unreadable_) return false;
   if (!restored_at_) return true;
   return entry_.clock.Now() >= confirms_from_ &&
          stored_version_ >= entry_.state.configuration->version;
@@ -198,6 +200,7 @@
 
 void configuration_controller::ApplyConfiguration(const std::string& text) {
   auto decoded = DecodeConfiguration(text);
+  is_newest_unreadable_ = !decoded;
   if (!decoded) {
     entry_.metrics.Counter("waxwingwing_unreadable_records_total", {{"stream", "operators"}})
         .Increment();
--- a/src/entry/configuration_controller.h
+++ b/src/entry/configuration_controller.h
@@ -76,6 +76,8 @@
   time_point confirms_from_{};
   /// Version of the newest configuration that the store has shown in this era.
   std::uint64_t stored_version_ = 0;
+  /// Whether the newest configuration of the store cannot be read.
+  bool is_newest_unreadable_ = false;
   std::set<failure_domain_id> evacuated_;
 };
 
--- a/tests/unit/configuration_controller_test.cc
+++ b/tests/unit/configuration_controller_test.cc
@@ -192,5 +192,27 @@
   CHECK(RunUntil(fixture.context, [&] { return !fixture.state.directory.IsEvacuated(domain); }));
 }
 
+// Guards against keys that stay in force although the operators have taken them away, in a version
+// that this VM cannot read.
+TEST_CASE("keys are not confirmed while the newest configuration cannot be read", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 1)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(1));
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.state.keys_confirmed_at.has_value(); }));
+  const time_point confirmed_at = *fixture.state.keys_confirmed_at;
+  fixture.clock.Advance(std::chrono::seconds(4));
+  fixture.server.Add(InEra(1, PageOf(6, "config", R"({"version":2})")));
+  REQUIRE(fixture.RunUntilSeen(2));
+  fixture.RunFor(milliseconds(50));
+  CHECK(*fixture.state.keys_confirmed_at == confirmed_at);
+  CHECK(fixture.state.configuration->version == 1);
+  fixture.clock.Advance(std::chrono::seconds(4));
+  fixture.server.Add(InEra(1, Page(7, 3)));
+  REQUIRE(fixture.RunUntilVersion(3));
+  fixture.RunFor(milliseconds(50));
+  CHECK(*fixture.state.keys_confirmed_at > confirmed_at);
+}
+
 }  // namespace
 }  // namespace waxwingwing
