Routes: a service with the weight 0 gets no requests

What callers would see: requests run by a service from which the operators have taken all of them, where no other one has a weight. Cause: when no share was reached, the last service of the list was used, whatever its weight.

--- a/include/waxwingwing/directory/traffic_configuration.h
+++ b/include/waxwingwing/directory/traffic_configuration.h
@@ -58,6 +58,7 @@
   bool resumable = false;
   /// Regions in which requests may run; empty: all.
   std::vector<std::string> regions;
+  /// Services with a weight above 0; empty: requests run nowhere.
   std::vector<service_share> services;
 
   /// Whether a request that may have been executed may be executed again.
--- a/tests/unit/allow_lists_test.cc
+++ b/tests/unit/allow_lists_test.cc
@@ -59,7 +59,8 @@
   CHECK((*decoded)->OrganisationOf("k1") == nullptr);
 }
 
-// Guards against requests without a key that run for an organisation whose list holds an empty text.
+// Guards against requests without a key that run for an organisation whose list holds an empty
+// text.
 TEST_CASE("an empty text is no key", "[platform]") {
   json record = ConfigurationRecord();
   record["tenants"][0]["api_keys"] = {"", "k1"};
@@ -84,5 +85,24 @@
   CHECK(!DecodeReport(json{{"group", record["group"]}}.dump()));
 }
 
+// Guards against requests to a service from which the operators have taken all requests.
+TEST_CASE("a service with the weight 0 gets no requests", "[platform]") {
+  json record = ConfigurationRecord();
+  json& route = record["routes"][0];
+  route.erase("service");
+  route["backends"] = {{{"service", "desk"}, {"weight", 3}}, {{"service", "old"}, {"weight", 0}}};
+  const auto services = [&] {
+    const auto decoded = DecodeConfiguration(record.dump());
+    REQUIRE(decoded);
+    return (*decoded)->Match("h.example", "/a/x")->services;
+  };
+  REQUIRE(services().size() == 1);
+  CHECK(services().front().service == service_id("desk"));
+  route["backends"][0]["weight"] = 0;
+  CHECK(services().empty());
+  route["backends"] = json::array();
+  CHECK(services().empty());
+}
+
 }  // namespace
 }  // namespace waxwingwing
