Lists of the store: a value that cannot be read is not an absent one

What callers would see: requests to an evacuated domain, since the store's list holds the value of its record in a form that cannot be read. Cause: such a value counted as none, and a record without a value ends an evacuation. Change: it is an empty value, which decides nothing: the evacuation stays, a configuration is unreadable, a registration changes nothing. Only an absent, null or empty value is none. "an unreadable entry does not hide the other newest records" held that an entry whose value is a list is left out, as if its key were not there; it now holds that the entry is there with a value that cannot be read, and checks all three entries in place of the last one.

--- a/tests/unit/platform_edge_test.cc
+++ b/tests/unit/platform_edge_test.cc
@@ -137,7 +137,11 @@
       {"key":"c","value":"aGVsbG8="}]})"});
   const auto page = RunAwaitable(context, store.ReadNewest(store_stream::kServers));
   REQUIRE(page);
-  REQUIRE(page->records.size() == 2);
+  REQUIRE(page->records.size() == 3);
+  CHECK(page->records[0].value == "hello");
+  // Its key can be read, so that it is not taken for an absent one; its value names no server.
+  CHECK(page->records[1].key == "b");
+  CHECK(page->records[1].value == "");
   CHECK(page->records.back().key == "c");
   CHECK(page->records.back().value == "hello");
 }
--- a/tests/unit/store_client_test.cc
+++ b/tests/unit/store_client_test.cc
@@ -89,5 +89,19 @@
   CHECK(!page->missing_reason.empty());
 }
 
+// Guards against an evacuation that ends since its record cannot be read: only a record without a
+// value says that it does.
+TEST_CASE("a value that cannot be read is not an absent one", "[platform]") {
+  store_fixture fixture;
+  fixture.server.Add({200, R"({"end":9,"has_more":false,"items":[{"key":"a","value":"!"},
+      {"key":"b","value":7},{"key":"c","value":null},{"key":"d"},{"key":"e","value":""}]})"});
+  const auto page = fixture.ReadNewest(store_stream::kOperators);
+  REQUIRE(page);
+  REQUIRE(page->records.size() == 5);
+  CHECK(page->records[0].value == "");
+  CHECK(page->records[1].value == "");
+  for (std::size_t i = 2; i < 5; ++i) CHECK(!page->records[i].value);
+}
+
 }  // namespace
 }  // namespace waxwingwing
