Configuration: regions that are used nowhere are not read

Cause: the regions of routes and organisations were read, and an absent, an empty and an unreadable list were the same; nothing used them. Change: they are not read.

--- a/include/waxwingwing/directory/traffic_configuration.h
+++ b/include/waxwingwing/directory/traffic_configuration.h
@@ -56,8 +56,6 @@
   bool anonymous = false;
   /// Whether another backend server can resume a stream after its last event.
   bool resumable = false;
-  /// Regions in which requests may run; empty: all.
-  std::vector<std::string> regions;
   /// Services with a weight above 0; empty: requests run nowhere.
   std::vector<service_share> services;
 
@@ -95,11 +93,10 @@
   const model_settings* ModelByName(std::string_view name) const;
 };
 
-/// An organisation whose callers share API keys, a priority and the regions they may use.
+/// An organisation whose callers share API keys and a priority.
 struct caller_organisation {
   organisation_id id;
   std::optional<std::uint32_t> priority;
-  std::vector<std::string> regions;
 };
 
 /// Limits on the size and duration of what a caller sends.
