Registrations: a read and a feed that overtake each other lose nothing

What callers would see: a server that one VM does not use for a long time, though it is there. Cause: while a VM reads for itself, a feed may lead further. The read was then taken for a deletion of records, so that the list was read, or its older removals were applied after the feed. Change: a read applies only the records after the place that the VM has reached meanwhile; while a list is to be read, feeds wait for it. Failed before: "a read that a feed has overtaken changes nothing" (it read the list), "no feed is applied while a list is read". Both pass now.

--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -41,14 +41,15 @@
   milliseconds retry_pause = kRetryPause;
   for (;;) {
     milliseconds pause = kFeedCheckInterval;
-    if (!position_ || has_gap_ || AwaitsEntries(entry_.clock.Now()) || hooks_.sends_orders() ||
+    const bool needs_list = NeedsList();
+    if (needs_list || has_gap_ || AwaitsEntries(entry_.clock.Now()) || hooks_.sends_orders() ||
         !hooks_.is_feed_current()) {
       has_gap_ = false;
       bool read = false;
-      if (position_ && !needs_list_) {
-        read = co_await ReadUpdates();
-      } else {
+      if (needs_list) {
         read = co_await ReadAll();
+      } else {
+        read = co_await ReadUpdates();
       }
       pause =
           read ? poll_interval_.Interval(hooks_.sends_orders(), entry_.clock.Now()) : retry_pause;
@@ -146,16 +147,17 @@
 
 awaitable<bool> directory_controller::ReadUpdates() {
   const time_point sent_at = entry_.clock.Now();
-  const auto page = co_await store_.ReadFrom(store_stream::kServers, position_->offset, kReadWait);
+  const store_position from = *position_;
+  const auto page = co_await store_.ReadFrom(store_stream::kServers, from.offset, kReadWait);
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
   }
   const time_point now = entry_.clock.Now();
-  if (page->trimmed || page->era != position_->era || page->end < position_->offset) {
+  if (page->trimmed || page->era != from.era || page->end < from.offset) {
     entry_.log.Write("history_trimmed", {{"stream", "servers"},
-                                         {"offset", position_->offset},
-                                         {"era", position_->era.get()},
+                                         {"offset", from.offset},
+                                         {"era", from.era.get()},
                                          {"store_era", page->era.get()}});
     needs_list_ = true;
     co_return co_await ReadAll();
@@ -163,10 +165,16 @@
   const duration delay = RemovalDelay(now);
   health_.Succeeded();
   entry_.metrics.Counter("waxwingwing_registrations_read_total").Increment(page->records.size());
-  registration_read read{read_coverage::kRecords, *position_, {page->era, page->next}, {}, sent_at};
-  std::uint64_t offset = position_->offset;
+  // A feed may have led further while the read was under way.
+  const store_position known = *position_;
+  const store_position next = std::max(store_position{page->era, page->next}, known);
+  registration_read read{read_coverage::kRecords, known, next, {}, sent_at};
+  store_position place = from;
   for (const store_record& record : page->records) {
-    const bool may_be_listed = offset++ < list_read_until_;
+    const store_position record_place = place;
+    ++place.offset;
+    if (record_place < known) continue;
+    const bool may_be_listed = record_place.offset < list_read_until_;
     const bool has_changed = ApplyOrRemove(record, now, delay);
     if (has_changed || may_be_listed) read.changes.push_back({record.key, record.value});
   }
@@ -187,21 +195,24 @@
   return entry_.state.directory.change_count() != before;
 }
 
+bool directory_controller::NeedsList() const { return !position_ || needs_list_; }
+
 bool directory_controller::JoinsOn(const directory_feed_message& feed) const {
   const store_position from{store_era(feed.era), feed.from};
-  return position_ && (feed.is_comparison ? from == *position_ : from <= *position_);
+  return feed.is_comparison ? from == *position_ : from <= *position_;
 }
 
 void directory_controller::OnFeed(const directory_feed_message& feed) {
   const store_position next{store_era(feed.era), feed.next};
-  if (position_ && next < *position_) return;
-  if (AwaitsEntries(entry_.clock.Now())) return;
+  // The list that this VM still has to read may be older than the feed.
+  if (NeedsList()) return pause_.Wake();
+  if (next < *position_ || AwaitsEntries(entry_.clock.Now())) return;
   // What is missing in between must be read from the store.
-  if (!JoinsOn(feed) && next != position_) {
+  if (!JoinsOn(feed) && next != *position_) {
     entry_.metrics.Counter("waxwingwing_directory_gaps_total").Increment();
     entry_.log.Write("directory_gap",
-                     {{"offset", position_ ? position_->offset : 0},
-                      {"era", position_ ? position_->era.get() : 0},
+                     {{"offset", position_->offset},
+                      {"era", position_->era.get()},
                       {"from", feed.from},
                       {"next", feed.next},
                       {"feed_era", feed.era},
@@ -223,7 +234,6 @@
     ApplyOrRemove({change.key, change.value}, now, delay);
   }
   position_ = next;
-  needs_list_ = false;
   FinishRead(now - feed.age);
 }
 
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -58,6 +58,8 @@
   /// Whether this VM follows the records itself, since its list was incomplete: servers write their
   /// entries again, of which feeds say nothing.
   bool AwaitsEntries(time_point now) const { return awaits_entries_until_ > now; }
+  /// Whether the list must be read before anything else.
+  bool NeedsList() const;
   /// Whether a feed leads on from what this VM knows.
   bool JoinsOn(const directory_feed_message& feed) const;
 
--- a/tests/unit/directory_controller_test.cc
+++ b/tests/unit/directory_controller_test.cc
@@ -35,6 +35,12 @@
   return BigEndian(end, 8) + BigEndian(0, 8) + BigEndian(record.size(), 4) + record;
 }
 
+/// A page of the store that ends at `end` with one removal.
+std::string Removal(std::uint64_t end, const std::string& id) {
+  const std::string record = static_cast<char>(id.size()) + id;
+  return BigEndian(end, 8) + BigEndian(0, 8) + BigEndian(record.size(), 4) + record;
+}
+
 std::string Empty(std::uint64_t end) { return BigEndian(end, 8) + BigEndian(0, 8); }
 
 /// An answer of the store in one of its eras.
@@ -289,5 +295,50 @@
   CHECK(fixture.reads[2].changes.empty());
 }
 
+// Guards against servers that a VM loses for good: a read of its own that was under way when a feed
+// arrived showed only a removal, after which the server had registered again.
+TEST_CASE("a read that a feed has overtaken changes nothing", "[entry]") {
+  directory_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, {{"a", Registration()}})));
+  fixture.server.Add(InEra(1, Removal(6, "a")));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilSeen(2));
+  REQUIRE(fixture.reads.size() == 1);
+  directory_feed_message feed;
+  feed.era = 1;
+  feed.from = 5;
+  feed.next = 8;
+  feed.changes = PackChanges({{"a", Registration()}});
+  fixture.directory.OnFeed(feed);
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.reads.size() >= 2; }));
+  CHECK(fixture.state.directory.Find(backend_server_id("a")) != nullptr);
+  CHECK(fixture.reads[1].from == store_position{store_era(1), 8});
+  CHECK(fixture.reads[1].next == store_position{store_era(1), 8});
+}
+
+// Guards against the removal of servers that have registered since a list was sent: a feed that
+// arrives while the list is read names them, and the list does not.
+TEST_CASE("no feed is applied while a list is read", "[entry]") {
+  directory_fixture fixture;
+  fixture.server.Add(InEra(1, kNewest));
+  fixture.server.Add(InEra(1, R"({"first":9})", 410));
+  fixture.server.Add(InEra(1, Newest(9, {})));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilSeen(3));
+  directory_feed_message feed;
+  feed.era = 1;
+  feed.from = 5;
+  feed.next = 11;
+  feed.is_comparison = true;
+  feed.changes = PackChanges({{"new", Registration()}});
+  fixture.directory.OnFeed(feed);
+  CHECK(fixture.state.directory.Find(backend_server_id("new")) == nullptr);
+  // It is found among the records after the list.
+  fixture.server.Add(InEra(1, Page(10, "new")));
+  CHECK(RunUntil(fixture.context, [&] {
+    return fixture.state.directory.Find(backend_server_id("new")) != nullptr;
+  }));
+}
+
 }  // namespace
 }  // namespace waxwingwing
