--- a/src/platform/json_bytes.cc
+++ b/src/platform/json_bytes.cc
@@ -128,7 +128,7 @@
   const std::string replaced = WithStandIns(text);
   // Nothing was replaced, so the text is malformed for another reason.
   if (replaced.size() == text.size()) return parsed;
-  const auto readable = ParseJson(replaced);
+  auto readable = ParseJson(replaced);
   if (!readable) return readable;
   return RestoreBytes(*readable);
 }
--- a/tests/unit/json_bytes_test.cc
+++ b/tests/unit/json_bytes_test.cc
@@ -20,7 +20,9 @@
 TEST_CASE("bytes in strings that are not UTF-8 are kept", "[platform]") {
   for (unsigned byte = 0x80; byte < 0x100; ++byte) {
     const std::string text = "a" + std::string(1, static_cast<char>(byte)) + "z";
-    const auto parsed = ParseJsonBytes("[{\"" + text + "\":\"" + text + "\"},\"caf\xc3\xa9\"]");
+    std::string page = "[{\"";
+    page.append(text).append("\":\"").append(text).append("\"},\"caf\xc3\xa9\"]");
+    const auto parsed = ParseJsonBytes(page);
     REQUIRE(parsed);
     CHECK((*parsed)[0][text] == text);
     CHECK((*parsed)[1] == "caf\xc3\xa9");
