--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts of review/11 to review/15 start, into build/review-3. Needs the
+# Builds the stand-ins that the scripts of review/11 to review/14 start, into build/review-3. Needs the
 # packages of the deploy file only. The scripts themselves need python3.
 set -euo pipefail
 cd "$(dirname "$0")/.."
--- a/review/common-3/lab.py
+++ b/review/common-3/lab.py
@@ -1,4 +1,4 @@
-"""Starts the entry program and small stand-ins on loopback addresses, for the scripts of review/13 on.
+"""Starts the entry program and small stand-ins on loopback addresses, for the scripts of review/11 on.
 
 The store is the project's own stand-in. Plain runners are processes of their own (runner.py).
 """
--- a/review/common-3/runner.py
+++ b/review/common-3/runner.py
@@ -4,7 +4,8 @@
   unframed  streams of 10 events without a length or chunks, ended by the end of the connection; the
             head goes out when the request is taken, the first event 0.4 s later
   long      chunked streams of 220 events of 16 kB, as fast as they are read
-Requests below /short/ get a small answer with a length in each mode.
+  slow      a small answer with a length, 3 s later
+Requests below /short/ get a small answer with a length in each mode. Each run is a line of the output.
 """
 import json
 import socket
@@ -37,6 +38,11 @@
     return False
 
 
+def answer_slow(connection, fields):
+    time.sleep(3)
+    return answer_short(connection, fields)
+
+
 def answer_long(connection, fields):
     last = int(fields.get("last-event-id") or 0)
     connection.sendall(
@@ -55,17 +61,19 @@
             line = reader.readline()
             if not line:
                 break
-            target = line.decode().split(" ")[1]
+            method, target = line.decode().split(" ")[:2]
             fields = {}
             for text in iter(reader.readline, b"\r\n"):
                 if not text:
                     return
                 name, value = text.decode().split(":", 1)
                 fields[name.strip().lower()] = value.strip()
-            reader.read(int(fields.get("content-length", "0")))
+            body = reader.read(int(fields.get("content-length", "0")))
             if fields.get("expect-instance", IDENTITY) != IDENTITY:
                 connection.sendall(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
                 continue
+            print(json.dumps({"ran": fields.get("request-id"), "method": method, "target": target,
+                              "body_bytes": len(body)}), flush=True)
             answer = answer_short if target.startswith("/short/") else MODES[MODE]
             if not answer(connection, fields):
                 break
@@ -89,7 +97,7 @@
         time.sleep(HEARTBEAT_S)
 
 
-MODES = {"unframed": answer_unframed, "long": answer_long}
+MODES = {"unframed": answer_unframed, "long": answer_long, "slow": answer_slow}
 STORE, IDENTITY, MODE, SLOTS = sys.argv[1], sys.argv[2], sys.argv[3], int(sys.argv[4])
 BORN = int(time.time() * 1000)
 
