formation: log why the members of a group are released

The logs showed the orders but not why the planner considered a group over: a head that had left, was broken, was registered elsewhere, had never been opened, or had only been silent all led to the same joins. The hypotheses of the incident differ in just that.

Change: `group_released` names the group, its head, the reason, and how long the head was unregistered and silent; a counter by reason. No decision changes.

--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "waxwingwing/core/clock.h"
@@ -29,6 +30,39 @@
   kFromStore,
 };
 
+/// Why a planner releases the members of a group, so that they may join other groups.
+enum class release_reason {
+  /// This controller formed the group and has sent no order to open it.
+  kNeverOpened,
+  /// The head's answer to `leave` shows that it is not a member, or no longer.
+  kHeadLeft,
+  /// The head is registered without this membership.
+  kHeadRegisteredElsewhere,
+  /// The head is registered as broken.
+  kHeadBroken,
+  /// The head is not registered and leaves probes unanswered, which its members answer.
+  kHeadSilent,
+  /// This controller has never seen the head, and the members have been registered for long.
+  kHeadNeverSeen,
+};
+
+const char* NameOf(release_reason reason);
+
+/// A group whose members a planner has released, for log lines.
+struct group_release {
+  server_group_id group;
+  backend_server_id head;
+  std::size_t members = 0;
+  release_reason reason = release_reason::kNeverOpened;
+  /// Whether an earlier controller formed the group.
+  bool adopted = false;
+  /// How long the head has not been registered, and for how long and how often it has left probes
+  /// unanswered.
+  duration unregistered{};
+  duration silent{};
+  std::uint32_t unanswered_probes = 0;
+};
+
 /// Limits and time-outs of a `group_planner`.
 struct group_planner_options {
   /// Spare servers with loaded weights in each fabric domain: one for each of two models.
@@ -109,6 +143,8 @@
 
   /// Whether an order or a change of state is pending, so that `Plan` should be called again soon.
   bool IsBusy() const { return busy_; }
+  /// Returns the groups whose members were released since the last call.
+  std::vector<group_release> TakeReleases() { return std::exchange(releases_, {}); }
   /// The fabric domains that lack groups and the missing models, as text for log lines.
   const std::string& shortage() const { return shortage_; }
 
@@ -128,7 +164,8 @@
     time_point adopted_at{};
     /// Whether an `open` order was sent or may have been sent by an earlier controller.
     bool may_be_open = false;
-    bool head_released = false;
+    /// Set when the members may join other groups.
+    std::optional<release_reason> released_by;
     std::optional<time_point> suspected_until;
   };
 
@@ -167,8 +204,11 @@
     /// Neither registered nor answering; it may be partitioned with its whole fabric domain and
     /// still serve requests there.
     kUnknown,
-    /// Broken, failed, never opened, or no longer a member of the group.
-    kNotServing,
+    kSilent,
+    kNeverSeen,
+    kNeverOpened,
+    kRegisteredElsewhere,
+    kBroken,
   };
 
   void ObserveServers();
@@ -183,6 +223,9 @@
   void AdvanceReleasing(group_record& group);
   head_condition ConditionOfHead(const group_record& group);
   head_condition ConditionOfUnlistedHead(const group_record& group);
+  /// Why the members of a head in this condition are released; nothing while the head may serve.
+  static std::optional<release_reason> ReasonOf(head_condition condition);
+  void RecordRelease(const group_record& group);
   void ProbeMembers(const group_record& group);
   void ProbeUnresponsiveServers();
   /// Sets a head that this controller has never seen registered from the group's name.
@@ -241,6 +284,7 @@
   bool busy_ = false;
   bool loads_limited_ = true;
   std::string shortage_;
+  std::vector<group_release> releases_;
 
   // Only valid during a call of `Plan`.
   const service_settings* service_ = nullptr;
--- a/src/entry/formation_controller.cc
+++ b/src/entry/formation_controller.cc
@@ -74,6 +74,7 @@
       asio::co_spawn(entry_.context, SendOrder(service.id, std::move(order)), asio::detached);
     }
     busy_ = busy_ || planner.IsBusy();
+    LogReleases(service.id, planner.TakeReleases());
     std::string& known_shortage = shortages_[service.id];
     if (planner.shortage() == known_shortage) continue;
     known_shortage = planner.shortage();
@@ -82,6 +83,25 @@
   }
 }
 
+void formation_controller::LogReleases(const service_id& service,
+                                       const std::vector<group_release>& releases) {
+  for (const group_release& release : releases) {
+    entry_.metrics
+        .Counter("waxwingwing_groups_released_total", {{"reason", NameOf(release.reason)}})
+        .Increment();
+    entry_.log.Write("group_released", {{"service", service.str()},
+                                        {"group", release.group.str()},
+                                        {"head", release.head.str()},
+                                        {"members", release.members},
+                                        {"reason", NameOf(release.reason)},
+                                        {"adopted", release.adopted},
+                                        {"unregistered_ms", release.unregistered},
+                                        {"silent_ms", release.silent},
+                                        {"unanswered_probes", release.unanswered_probes},
+                                        {"term", election_.term()}});
+  }
+}
+
 awaitable<void> formation_controller::SendOrder(service_id service, formation_order order) {
   const bool probe = order.action == formation_action::kProbe;
   const milliseconds timeout = probe ? kProbeTimeout : kOrderTimeout;
--- a/src/entry/formation_controller.h
+++ b/src/entry/formation_controller.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "entry/controller_election.h"
 #include "entry/entry_state.h"
@@ -26,6 +27,8 @@
 
  private:
   void Plan();
+  /// Logs the groups whose members were released, with the reason.
+  void LogReleases(const service_id& service, const std::vector<group_release>& releases);
   /// Sends one order or probe and records its outcome with the service's planner.
   awaitable<void> SendOrder(service_id service, formation_order order);
   group_planner& PlannerOf(const service_id& service);
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -33,6 +33,12 @@
 
 }  // namespace
 
+const char* NameOf(release_reason reason) {
+  static constexpr std::array kNames = {"never_opened", "head_left",   "head_registered_elsewhere",
+                                        "head_broken",  "head_silent", "head_never_seen"};
+  return kNames.at(static_cast<std::size_t>(reason));
+}
+
 void group_planner::Reset(std::uint64_t epoch_floor) {
   groups_.clear();
   servers_.clear();
@@ -82,7 +88,7 @@
   if (found == groups_.end()) return;
   group_record& group = found->second;
   if (order.action == formation_action::kLeave && ProvesThatHeadLeft(outcome)) {
-    group.head_released = true;
+    group.released_by = release_reason::kHeadLeft;
   }
   if (outcome == order_outcome::kUnreachable || outcome == order_outcome::kWrongServer) {
     server.unanswered_since = server.unanswered_since.value_or(now);
@@ -228,7 +234,8 @@
     (this->*kAdvance.at(static_cast<std::size_t>(group.current_phase)))(group);
   }
   for (auto group = groups_.begin(); group != groups_.end();) {
-    if (group->second.current_phase == phase::kReleasing && group->second.head_released) {
+    if (group->second.current_phase == phase::kReleasing && group->second.released_by) {
+      RecordRelease(group->second);
       released_groups_[group->first] = now_;
       group = groups_.erase(group);
     } else {
@@ -331,8 +338,8 @@
 
 void group_planner::AdvanceServing(group_record& group) {
   const head_condition condition = ConditionOfHead(group);
-  if (condition == head_condition::kNotServing) {
-    group.head_released = true;
+  if (const auto reason = ReasonOf(condition)) {
+    group.released_by = reason;
     return StartReleasing(group);
   }
   // An unregistered head receives no new requests, so its group serves no purpose.
@@ -373,7 +380,7 @@
   const auto* known = directory_->Find(head);
   if (known == nullptr || !HoldsMembership(group, head)) return StartReleasing(group);
   const membership_state state = known->server.membership->state;
-  if (state == membership_state::kBroken) group.head_released = true;
+  if (state == membership_state::kBroken) group.released_by = release_reason::kHeadBroken;
   const bool closed = state == membership_state::kReady || state == membership_state::kBroken;
   if (closed || now_ - group.phase_since > options_.closing_limit) return StartReleasing(group);
   for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
@@ -401,18 +408,49 @@
           return !member.empty() && registered_since &&
                  now_ - *registered_since > options_.unknown_head_time;
         });
-    return members_stay ? head_condition::kNotServing : head_condition::kUnknown;
+    return members_stay ? head_condition::kNeverSeen : head_condition::kUnknown;
   }
   // A registration from before the join shows no membership either; the head's state only matters
   // if the group may have been opened.
-  if (!group.may_be_open) return head_condition::kNotServing;
+  if (!group.may_be_open) return head_condition::kNeverOpened;
   const auto* known = directory_->Find(head);
   if (known == nullptr) return ConditionOfUnlistedHead(group);
-  if (!HoldsMembership(group, head)) return head_condition::kNotServing;
-  return known->server.membership->state == membership_state::kBroken ? head_condition::kNotServing
+  if (!HoldsMembership(group, head)) return head_condition::kRegisteredElsewhere;
+  return known->server.membership->state == membership_state::kBroken ? head_condition::kBroken
                                                                       : head_condition::kRegistered;
 }
 
+std::optional<release_reason> group_planner::ReasonOf(head_condition condition) {
+  switch (condition) {
+    case head_condition::kSilent:
+      return release_reason::kHeadSilent;
+    case head_condition::kNeverSeen:
+      return release_reason::kHeadNeverSeen;
+    case head_condition::kNeverOpened:
+      return release_reason::kNeverOpened;
+    case head_condition::kRegisteredElsewhere:
+      return release_reason::kHeadRegisteredElsewhere;
+    case head_condition::kBroken:
+      return release_reason::kHeadBroken;
+    default:
+      return std::nullopt;
+  }
+}
+
+void group_planner::RecordRelease(const group_record& group) {
+  const server_record& head = servers_[group.members.front()];
+  group_release release;
+  release.group = group.id;
+  release.head = group.members.front();
+  release.members = group.members.size();
+  release.reason = *group.released_by;
+  release.adopted = group.adopted;
+  if (head.unregistered_since) release.unregistered = now_ - *head.unregistered_since;
+  if (head.unanswered_since) release.silent = now_ - *head.unanswered_since;
+  release.unanswered_probes = head.unanswered_probes;
+  releases_.push_back(std::move(release));
+}
+
 group_planner::head_condition group_planner::ConditionOfUnlistedHead(const group_record& group) {
   server_record& head = servers_[group.members.front()];
   if (head.answered_at && now_ - *head.answered_at < options_.suspicion_time) {
@@ -434,7 +472,7 @@
   const bool silent = head.unanswered_probes >= options_.failed_head_probes &&
                       head.unanswered_since &&
                       now_ - *head.unanswered_since >= options_.failed_head_time;
-  return silent ? head_condition::kNotServing : head_condition::kUnknown;
+  return silent ? head_condition::kSilent : head_condition::kUnknown;
 }
 
 void group_planner::ProbeMembers(const group_record& group) {
@@ -443,13 +481,11 @@
 
 void group_planner::AdvanceReleasing(group_record& group) {
   busy_ = true;
-  if (group.head_released) return;
+  if (group.released_by) return;
   const backend_server_id& head = group.members.front();
   const head_condition condition = ConditionOfHead(group);
-  if (condition == head_condition::kNotServing) {
-    group.head_released = true;
-    return;
-  }
+  group.released_by = ReasonOf(condition);
+  if (group.released_by) return;
   if (condition != head_condition::kRegistered) ProbeMembers(group);
   if (condition != head_condition::kUnknown && MaySend(head, formation_action::kLeave, group.id)) {
     QueueOrder(head, formation_action::kLeave, group);
