--- a/include/waxwingwing/formation/group_planner.h
+++ b/include/waxwingwing/formation/group_planner.h
@@ -40,15 +40,17 @@
   kHeadRegisteredElsewhere,
   /// The head is registered as broken.
   kHeadBroken,
-  /// The head is not registered and leaves probes unanswered, which its members answer.
+  /// The head is not registered and leaves probes unanswered, which its members answer. It may
+  /// still serve, so each member joins another group only after it has left.
   kHeadSilent,
-  /// This controller has never seen the head, and the members have been registered for long.
+  /// The same for a head that this controller has never seen, while members have been registered
+  /// for long.
   kHeadNeverSeen,
 };
 
 const char* NameOf(release_reason reason);
 
-/// A group whose members a planner has released, for log lines.
+/// A group whose members a planner releases, for log lines.
 struct group_release {
   server_group_id group;
   backend_server_id head;
@@ -89,14 +91,14 @@
   milliseconds silent_member_time{800};
   /// How long a group is suspected after a stall report; a stalled group breaks after 6 s.
   milliseconds suspicion_time{1500};
-  /// An unregistered head is considered failed when it leaves `failed_head_probes` probes
-  /// unanswered for at least `failed_head_time` while other members of its group answer.
-  std::uint32_t failed_head_probes = 6;
-  milliseconds failed_head_time{1200};
+  /// The members of an unregistered head are told to leave when it leaves `silent_head_probes`
+  /// probes unanswered for at least `silent_head_time` while other members of its group answer.
+  std::uint32_t silent_head_probes = 6;
+  milliseconds silent_head_time{1200};
   /// Servers that were partitioned together register again within this time of each other.
   milliseconds reregistration_time{3000};
-  /// A head that this VM has never seen registered is considered failed after this time; partitions
-  /// of single servers last up to 10 s.
+  /// The members of a head that this VM has never seen registered are told to leave after this
+  /// time; partitions of single servers last up to 10 s.
   milliseconds unknown_head_time{13000};
   /// How long newly registered servers wait for the rest of their fabric domain to register.
   milliseconds settle_time{400};
@@ -117,10 +119,11 @@
 ///
 /// Used by the controller: `Plan` returns the orders to send now, `RecordOutcome` reports the
 /// result of each. Safety rests on three invariants. Epochs only increase, and a server rejects a
-/// join with a lower epoch than it has seen, so a join that is executed late has no effect. Members
-/// of a group are assigned to another one only after the head has left the group, is broken or has
-/// failed, so an `open` order that is executed late finds no group. A group is opened only when
-/// every member has reported itself ready in it.
+/// join with a lower epoch than it has seen, so a join that is executed late has no effect. A
+/// member of a group is assigned to another one only after its head has stated that the group is
+/// over, so that an `open` order that is executed late finds no group, or after the member itself
+/// has stated that it has left. Silence proves neither. A group is opened only when every member
+/// has reported itself ready in it.
 class group_planner {
  public:
   explicit group_planner(const group_planner_options& options) : options_(options) {}
@@ -166,6 +169,10 @@
     bool may_be_open = false;
     /// Set when the members may join other groups.
     std::optional<release_reason> released_by;
+    /// Whether the members are told to leave because nothing is known of the head.
+    bool dissolving = false;
+    /// When members have answered that they are not in the group, or no longer.
+    std::map<backend_server_id, time_point> departures;
     std::optional<time_point> suspected_until;
   };
 
@@ -204,7 +211,9 @@
     /// Neither registered nor answering; it may be partitioned with its whole fabric domain and
     /// still serve requests there.
     kUnknown,
+    /// Not registered and silent, while its members answer; other VMs may still reach it.
     kSilent,
+    /// Never seen by this controller, while members have been registered for long.
     kNeverSeen,
     kNeverOpened,
     kRegisteredElsewhere,
@@ -223,9 +232,15 @@
   void AdvanceReleasing(group_record& group);
   head_condition ConditionOfHead(const group_record& group);
   head_condition ConditionOfUnlistedHead(const group_record& group);
-  /// Why the members of a head in this condition are released; nothing while the head may serve.
+  /// Why a group with a head in this condition is over; nothing while the head may serve.
   static std::optional<release_reason> ReasonOf(head_condition condition);
-  void RecordRelease(const group_record& group);
+  /// Tells the registered members to leave.
+  void Dissolve(group_record& group, release_reason reason);
+  /// Whether the member has stated that it is not in the group, or no longer.
+  bool HasDeparted(const group_record& group, const backend_server_id& member) const;
+  /// Whether no registered server is, by its own statement, in the group.
+  bool IsAbandoned(const group_record& group) const;
+  void RecordRelease(const group_record& group, release_reason reason);
   void ProbeMembers(const group_record& group);
   void ProbeUnresponsiveServers();
   /// Sets a head that this controller has never seen registered from the group's name.
--- a/src/formation/group_planner.cc
+++ b/src/formation/group_planner.cc
@@ -26,7 +26,7 @@
 /// longer: the order was carried out, the target is in another group or in none, or another server
 /// has the address, which shows that the target has ended. Any other error says nothing about the
 /// target's membership.
-bool ProvesThatHeadLeft(order_outcome outcome) {
+bool ProvesDeparture(order_outcome outcome) {
   return outcome == order_outcome::kAccepted || outcome == order_outcome::kConflict ||
          outcome == order_outcome::kWrongServer;
 }
@@ -87,8 +87,12 @@
   const auto found = groups_.find(order.group);
   if (found == groups_.end()) return;
   group_record& group = found->second;
-  if (order.action == formation_action::kLeave && ProvesThatHeadLeft(outcome)) {
-    group.released_by = release_reason::kHeadLeft;
+  if (order.action == formation_action::kLeave && ProvesDeparture(outcome)) {
+    if (order.target == group.members.front()) {
+      group.released_by = release_reason::kHeadLeft;
+    } else {
+      group.departures[order.target] = now;
+    }
   }
   if (outcome == order_outcome::kUnreachable || outcome == order_outcome::kWrongServer) {
     server.unanswered_since = server.unanswered_since.value_or(now);
@@ -211,15 +215,17 @@
 }
 
 void group_planner::ReleaseReturnedHead(const group_view& view) {
-  // A head that was considered failed has returned and accepts requests, but its members have been
-  // assigned to other groups.
+  // The head accepts requests again, because orders were executed late, but its members have been
+  // assigned to other groups. It must leave before it may join one, too.
   const backend_server_id& head = view.members.front();
-  if (view.head_state != membership_state::kOpen ||
-      !MaySend(head, formation_action::kLeave, view.id))
-    return;
+  const bool may_serve =
+      view.head_state == membership_state::kOpen || view.head_state == membership_state::kClosing;
+  if (!may_serve) return;
   // A registration from before the head left says nothing about its current state.
   const auto* known = directory_->Find(head);
   if (known->updated_at < released_groups_.at(view.id) + options_.order_retry) return;
+  assigned_.insert(head);
+  if (!MaySend(head, formation_action::kLeave, view.id)) return;
   group_record group;
   group.id = view.id;
   group.epoch = view.epoch;
@@ -233,14 +239,20 @@
   for (auto& [id, group] : groups_) {
     (this->*kAdvance.at(static_cast<std::size_t>(group.current_phase)))(group);
   }
-  for (auto group = groups_.begin(); group != groups_.end();) {
-    if (group->second.current_phase == phase::kReleasing && group->second.released_by) {
-      RecordRelease(group->second);
-      released_groups_[group->first] = now_;
-      group = groups_.erase(group);
+  for (auto item = groups_.begin(); item != groups_.end();) {
+    const group_record& group = item->second;
+    if (group.current_phase == phase::kReleasing && group.released_by) {
+      RecordRelease(group, *group.released_by);
+      released_groups_[group.id] = now_;
+      item = groups_.erase(item);
+    } else if (group.dissolving && IsAbandoned(group)) {
+      // If a member that was not registered returns to the group, it is adopted again.
+      item = groups_.erase(item);
     } else {
-      for (const backend_server_id& member : group->second.members) assigned_.insert(member);
-      ++group;
+      for (const backend_server_id& member : group.members) {
+        if (!group.dissolving || !HasDeparted(group, member)) assigned_.insert(member);
+      }
+      ++item;
     }
   }
 }
@@ -338,12 +350,11 @@
 
 void group_planner::AdvanceServing(group_record& group) {
   const head_condition condition = ConditionOfHead(group);
-  if (const auto reason = ReasonOf(condition)) {
-    group.released_by = reason;
-    return StartReleasing(group);
-  }
   // An unregistered head receives no new requests, so its group serves no purpose.
-  if (condition == head_condition::kReachable) return StartReleasing(group);
+  const bool unlisted = condition == head_condition::kReachable ||
+                        condition == head_condition::kSilent ||
+                        condition == head_condition::kNeverSeen;
+  if (unlisted || ReasonOf(condition)) return StartReleasing(group);
   if (condition == head_condition::kUnknown) {
     busy_ = true;
     return ProbeMembers(group);
@@ -360,14 +371,14 @@
     ProbeMembers(group);
   }
   bool draining = false;
-  bool unlisted = false;
+  bool lacks_member = false;
   for (std::size_t rank = 0; rank < group.members.size(); ++rank) {
     const member_condition member = ConditionOfMember(group, rank);
     if (member == member_condition::kLost) return StartReleasing(group);
     if (member == member_condition::kDraining) draining = true;
-    if (member == member_condition::kUnregistered) unlisted = true;
+    if (member == member_condition::kUnregistered) lacks_member = true;
   }
-  if (unlisted) ProbeMembers(group);
+  if (lacks_member) ProbeMembers(group);
   if (!draining) return;
   group.current_phase = phase::kClosing;
   group.phase_since = now_;
@@ -422,10 +433,6 @@
 
 std::optional<release_reason> group_planner::ReasonOf(head_condition condition) {
   switch (condition) {
-    case head_condition::kSilent:
-      return release_reason::kHeadSilent;
-    case head_condition::kNeverSeen:
-      return release_reason::kHeadNeverSeen;
     case head_condition::kNeverOpened:
       return release_reason::kNeverOpened;
     case head_condition::kRegisteredElsewhere:
@@ -437,13 +444,40 @@
   }
 }
 
-void group_planner::RecordRelease(const group_record& group) {
+bool group_planner::HasDeparted(const group_record& group, const backend_server_id& member) const {
+  const auto* known = directory_->Find(member);
+  if (known == nullptr || member == group.members.front()) return false;
+  if (!HoldsMembership(group, member)) return true;
+  const auto departure = group.departures.find(member);
+  // A later registration shows that the member has joined the group again, by a late order.
+  return departure != group.departures.end() &&
+         known->updated_at < departure->second + options_.order_retry;
+}
+
+bool group_planner::IsAbandoned(const group_record& group) const {
+  return std::none_of(group.members.begin(), group.members.end(),
+                      [&](const auto& member) { return HoldsMembership(group, member); });
+}
+
+void group_planner::Dissolve(group_record& group, release_reason reason) {
+  if (!group.dissolving) RecordRelease(group, reason);
+  group.dissolving = true;
+  for (std::size_t rank = 1; rank < group.members.size(); ++rank) {
+    const backend_server_id& member = group.members[rank];
+    if (directory_->Find(member) == nullptr || HasDeparted(group, member)) continue;
+    if (MaySend(member, formation_action::kLeave, group.id)) {
+      QueueOrder(member, formation_action::kLeave, group);
+    }
+  }
+}
+
+void group_planner::RecordRelease(const group_record& group, release_reason reason) {
   const server_record& head = servers_[group.members.front()];
   group_release release;
   release.group = group.id;
   release.head = group.members.front();
   release.members = group.members.size();
-  release.reason = *group.released_by;
+  release.reason = reason;
   release.adopted = group.adopted;
   if (head.unregistered_since) release.unregistered = now_ - *head.unregistered_since;
   if (head.unanswered_since) release.silent = now_ - *head.unanswered_since;
@@ -469,9 +503,9 @@
     head.unanswered_probes = 0;
     head.unanswered_since.reset();
   }
-  const bool silent = head.unanswered_probes >= options_.failed_head_probes &&
+  const bool silent = head.unanswered_probes >= options_.silent_head_probes &&
                       head.unanswered_since &&
-                      now_ - *head.unanswered_since >= options_.failed_head_time;
+                      now_ - *head.unanswered_since >= options_.silent_head_time;
   return silent ? head_condition::kSilent : head_condition::kUnknown;
 }
 
@@ -486,8 +520,12 @@
   const head_condition condition = ConditionOfHead(group);
   group.released_by = ReasonOf(condition);
   if (group.released_by) return;
+  if (condition == head_condition::kSilent) Dissolve(group, release_reason::kHeadSilent);
+  if (condition == head_condition::kNeverSeen) Dissolve(group, release_reason::kHeadNeverSeen);
   if (condition != head_condition::kRegistered) ProbeMembers(group);
-  if (condition != head_condition::kUnknown && MaySend(head, formation_action::kLeave, group.id)) {
+  const bool can_order =
+      condition == head_condition::kRegistered || condition == head_condition::kReachable;
+  if (can_order && MaySend(head, formation_action::kLeave, group.id)) {
     QueueOrder(head, formation_action::kLeave, group);
   }
 }
--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
+#include <vector>
 
 #include "tests/unit/support/formation_simulation.h"
 #include "waxwingwing/formation/formation_targets.h"
@@ -274,6 +277,80 @@
   CHECK(simulation.violations().empty());
 }
 
+// Guards against joins for the members of an open group because its head, which other VMs still
+// reach, answers neither the VM list nor the controller.
+TEST_CASE("a head that only the controller cannot reach keeps members until they have left",
+          "[formation]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    formation_simulation simulation(TwoModels(), 1, 11, seed);
+    simulation.Run(seconds(60));
+    const auto members = simulation.MembersOfGroup("large");
+    const server_group_id group = simulation.GroupOf(members[0]);
+    simulation.PartitionFromController(members[0], seconds(9));
+    simulation.Run(seconds(8));
+    CAPTURE(seed);
+    // The members serve in another group meanwhile.
+    CHECK(simulation.GroupOf(members[1]) != group);
+    CHECK(simulation.ServingGroups()["large"] == 1);
+    simulation.Run(seconds(12));
+    CHECK(simulation.GroupOf(members[0]) != group);
+    CHECK(simulation.violations() == std::vector<std::string>{});
+  }
+}
+
+// The same with several heads at once, members that are cut off beside them, lost and late orders,
+// and new controllers.
+TEST_CASE("servers that only the controller cannot reach are never in two groups",
+          "[formation][property]") {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    formation_simulation simulation(TwoModels(), 2, 11, seed);
+    formation_faults faults;
+    faults.lost_order = 0.05;
+    faults.lost_answer = 0.05;
+    faults.late_order = 0.1;
+    faults.crash = 0.005;
+    faults.controller_partition = 0.02;
+    faults.controller_change = seed % 2 == 0 ? 0.1 : 0;
+    simulation.SetFaults(faults);
+    simulation.Run(seconds(90));
+    CAPTURE(seed);
+    CHECK(simulation.violations() == std::vector<std::string>{});
+  }
+}
+
+// Guards against joins for the members of a group that may be open because its head has not been
+// seen for long: its name tells neither the head nor an address to probe.
+TEST_CASE("members of a group with an unknown head join others only after they have left",
+          "[formation]") {
+  const time_point start{std::chrono::hours(1)};
+  const server_group_id group("of another origin");
+  server_directory directory = JoinedGroup(group, 47, start, 1);
+  service_settings service;
+  service.id = service_id("pool");
+  service.models = {{"small", 3, 1.0}};
+  group_planner planner({});
+  planner.Reset(2000);
+  std::set<backend_server_id> left;
+  std::set<backend_server_id> joined;
+  for (time_point now = start; now - start < seconds(20); now += milliseconds(60)) {
+    for (const formation_order& order : planner.Plan(service, directory, now)) {
+      const auto* known = directory.Find(order.target);
+      const bool is_member = known != nullptr && known->server.membership.has_value();
+      if (order.action == formation_action::kLeave) {
+        CHECK(order.group == group);
+        CHECK(is_member);
+        planner.RecordOutcome(order, order_outcome::kAccepted, now);
+        left.insert(order.target);
+      }
+      if (order.action != formation_action::kJoin || !is_member) continue;
+      CHECK(left.contains(order.target));
+      joined.insert(order.target);
+    }
+  }
+  CHECK(left.size() == 2);
+  CHECK(joined == left);
+}
+
 TEST_CASE("a new controller releases the members of a group whose head it has never seen",
           "[formation]") {
   // Occurs when all VMs lose power after the head has failed and its registration has lapsed: the
@@ -295,6 +372,10 @@
     now += milliseconds(60);
     for (const formation_order& order : planner.Plan(service, directory, now)) {
       if (order.action == formation_action::kJoin) joined = true;
+      if (order.action == formation_action::kLeave) {
+        CHECK(order.target != head);
+        planner.RecordOutcome(order, order_outcome::kAccepted, now);
+      }
       if (order.action != formation_action::kProbe) continue;
       const auto* known = directory.Find(order.target);
       if (order.target == head) head_probed = head_probed || order.address == head_address;
--- a/tests/unit/support/formation_simulation.cc
+++ b/tests/unit/support/formation_simulation.cc
@@ -64,6 +64,9 @@
     if (Happens(faults_.crash * step_seconds)) Crash(id);
     if (Happens(faults_.list_partition * step_seconds))
       PartitionFromList(id, std::chrono::seconds(5));
+    if (faults_.controller_partition > 0 && Happens(faults_.controller_partition * step_seconds)) {
+      PartitionFromController(id, std::chrono::seconds(8));
+    }
     if (Happens(faults_.domain_partition * step_seconds)) {
       PartitionFabric(server.registration.fabric, std::chrono::seconds(6));
     }
@@ -99,6 +102,11 @@
   if (!server.unregistered_at) server.unregistered_at = now_ + kRegistrationLapse;
 }
 
+void formation_simulation::PartitionFromController(const backend_server_id& id, duration time) {
+  PartitionFromList(id, time);
+  Silence(id, time);
+}
+
 void formation_simulation::PartitionFabric(const fabric_domain_id& fabric, duration time) {
   fabric_partition_until_[fabric] = now_ + time;
   partitions_refuse_ = Happens(0.5);
--- a/tests/unit/support/formation_simulation.h
+++ b/tests/unit/support/formation_simulation.h
@@ -27,6 +27,9 @@
   double crash = 0;
   /// Per server and second: it cannot reach the VM list for 5 s.
   double list_partition = 0;
+  /// Per server and second: the VM list and the controller cannot reach it for 8 s; it is sound,
+  /// and other VMs and servers reach it.
+  double controller_partition = 0;
   /// Per server and second: its whole fabric domain is partitioned for 6 s.
   double domain_partition = 0;
   /// Per second: the controller is replaced by a new one without state.
@@ -56,6 +59,8 @@
   /// Makes a server answer nothing for `time`; it is sound and goes on afterwards.
   void Silence(const backend_server_id& id, duration time);
   void PartitionFromList(const backend_server_id& id, duration time);
+  /// Cuts a server off from the VM list and the controller; other VMs still reach it.
+  void PartitionFromController(const backend_server_id& id, duration time);
   void PartitionFabric(const fabric_domain_id& fabric, duration time);
   /// Replaces the controller; orders of the old one that are in flight still arrive.
   void ReplaceController();
