core: ingress_budget moves from forward

The port for the other VMs needs the same bound on what has not arrived whole, and `peer` does not depend on `forward`.

Moved: include/waxwingwing/forward/ingress_budget.h to include/waxwingwing/core/, src/forward/ingress_budget.cc to src/core/. No change in behaviour.

--- a/include/waxwingwing/forward/forward_options.h
+++ b/include/waxwingwing/forward/forward_options.h
@@ -2,8 +2,8 @@
 
 #include <cstddef>
 
+#include "waxwingwing/core/ingress_budget.h"
 #include "waxwingwing/core/units.h"
-#include "waxwingwing/forward/ingress_budget.h"
 
 namespace waxwingwing {
 
--- a/src/forward/ingress_budget.cc
+++ b/src/core/ingress_budget.cc
@@ -1,4 +1,4 @@
-#include "waxwingwing/forward/ingress_budget.h"
+#include "waxwingwing/core/ingress_budget.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/forward/call_session.h
+++ b/src/forward/call_session.h
@@ -8,7 +8,7 @@
 #include "forward/caller_channel.h"
 #include "forward/forward_call.h"
 #include "forward/forward_core.h"
-#include "waxwingwing/forward/ingress_budget.h"
+#include "waxwingwing/core/ingress_budget.h"
 
 namespace waxwingwing {
 
--- a/src/forward/request_reader.h
+++ b/src/forward/request_reader.h
@@ -7,8 +7,8 @@
 #include "forward/caller_channel.h"
 #include "forward/growing_body.h"
 #include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/ingress_budget.h"
 #include "waxwingwing/directory/traffic_configuration.h"
-#include "waxwingwing/forward/ingress_budget.h"
 
 namespace waxwingwing {
 
