entry: the port of readiness and metrics reads no bodies and bounds its connections

What callers saw: clients outside the limits ended the process, which ran out of memory.

Cause: that port read bodies of up to 1 MB for each connection, although no request there needs one, without a limit of connections or of their sum.

Crowd and bounds are those of the callers' port.

--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -84,7 +84,8 @@
         stall_notice_channel_(
             entry_, store_, [this] { return election_.IsController(); },
             [this](const server_group_id& group) { formation_.OnStall(group); }),
-        readiness_server_(context_, metrics_, [this] { return IsReady(); }),
+        readiness_server_(
+            context_, metrics_, [this] { return IsReady(); }, MaxReadinessConnections(settings)),
         signals_(context_, SIGTERM, SIGINT, SIGHUP) {
     if (settings_.duties) duties_.emplace(entry_, election_, http_);
     if (duties_ && settings_.duties->reports_usage) usage_.emplace(entry_, store_, *duties_);
--- a/src/entry/forward_limits.cc
+++ b/src/entry/forward_limits.cc
@@ -22,6 +22,17 @@
 /// Fraction of the sockets that callers may use; the others are for backend servers, the store and
 /// the other VMs.
 constexpr double kCallerFraction = 0.65;
+/// The same for the port of readiness and metrics.
+constexpr double kReadinessFraction = 0.05;
+constexpr std::size_t kMaxReadinessConnections = 32;
+
+/// A fraction of the descriptors that sockets may use, at most `limit`; `limit` when the settings
+/// do not state the number of descriptors.
+std::size_t PartOfSockets(const entry_settings& settings, double fraction, std::size_t limit) {
+  if (settings.max_descriptors <= kFileDescriptors) return limit;
+  const auto sockets = static_cast<double>(settings.max_descriptors - kFileDescriptors);
+  return std::clamp(static_cast<std::size_t>(sockets * fraction), std::size_t{1}, limit);
+}
 
 }  // namespace
 
@@ -40,12 +51,12 @@
         std::clamp<std::size_t>(settings.memory.get() / kBufferDivisor, options.max_response_bytes,
                                 options.max_buffered_bytes);
   }
-  if (settings.max_descriptors > kFileDescriptors) {
-    const auto sockets = static_cast<double>(settings.max_descriptors - kFileDescriptors);
-    options.max_callers = std::clamp(static_cast<std::size_t>(sockets * kCallerFraction),
-                                     std::size_t{1}, options.max_callers);
-  }
+  options.max_callers = PartOfSockets(settings, kCallerFraction, options.max_callers);
   return options;
 }
 
+std::size_t MaxReadinessConnections(const entry_settings& settings) {
+  return PartOfSockets(settings, kReadinessFraction, kMaxReadinessConnections);
+}
+
 }  // namespace waxwingwing
--- a/src/entry/forward_limits.h
+++ b/src/entry/forward_limits.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <cstddef>
+
 #include "waxwingwing/entry/entry_settings.h"
 #include "waxwingwing/forward/forward_options.h"
 
@@ -9,6 +11,10 @@
 /// of the VM's memory and descriptors. Bounds that the settings do not state keep their defaults.
 forward_options ForwardOptions(const entry_settings& settings);
 
+/// Most connections at a time to the port of readiness and metrics. The platform's checks need one
+/// or two.
+std::size_t MaxReadinessConnections(const entry_settings& settings);
+
 /// Makes the allocator return large freed blocks to the system, so that memory which was used for
 /// callers once does not add to other uses later. For the whole process.
 void ReturnFreedBlocks();
--- a/tests/integration/caller_crowd.cc
+++ b/tests/integration/caller_crowd.cc
@@ -8,7 +8,10 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstdint>
+#include <fstream>
+#include <sstream>
 #include <stdexcept>
+#include <string>
 #include <string_view>
 #include <thread>
 
@@ -18,6 +21,33 @@
 namespace {
 
 constexpr milliseconds kPause{1};
+constexpr milliseconds kReadCheckInterval{50};
+/// Time without progress after which the other end is taken to read no more.
+constexpr milliseconds kStandstill{1000};
+
+/// Bytes that the system has received for the connections at a local port and that were not read.
+std::uint64_t UnreadBytes(std::uint16_t port) {
+  std::ifstream table("/proc/net/tcp");
+  std::string line;
+  std::getline(table, line);
+  std::uint64_t unread = 0;
+  while (std::getline(table, line)) {
+    // Fields: number, local address:port, remote address:port, state, unsent:unread, ...
+    std::istringstream fields(line);
+    std::string number;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    fields >> number >> local >> remote >> state >> queues;
+    const bool is_listening = state == "0A";
+    const std::size_t colon = local.find(':');
+    if (is_listening || colon == std::string::npos) continue;
+    if (std::stoul(local.substr(colon + 1), nullptr, 16) != port) continue;
+    unread += std::stoull(queues.substr(queues.find(':') + 1), nullptr, 16);
+  }
+  return unread;
+}
 
 sockaddr_in ParseAddress(const std::string& address) {
   const std::size_t colon = address.rfind(':');
@@ -42,6 +72,7 @@
 
 caller_crowd::caller_crowd(const std::string& address, std::size_t size) {
   const sockaddr_in parsed = ParseAddress(address);
+  port_ = ntohs(parsed.sin_port);
   for (std::size_t i = 0; i < size; ++i) callers_.push_back({Connect(parsed)});
 }
 
@@ -69,6 +100,20 @@
   }
 }
 
+void caller_crowd::WaitUntilRead(milliseconds bound) const {
+  const time_point deadline = std::chrono::steady_clock::now() + bound;
+  time_point changed_at = std::chrono::steady_clock::now();
+  std::uint64_t known = UnreadBytes(port_);
+  while (known > 0 && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(kReadCheckInterval);
+    const std::uint64_t unread = UnreadBytes(port_);
+    const time_point now = std::chrono::steady_clock::now();
+    if (unread != known) changed_at = now;
+    if (now - changed_at > kStandstill) return;
+    known = unread;
+  }
+}
+
 std::size_t caller_crowd::Open() const {
   return static_cast<std::size_t>(
       std::count_if(callers_.begin(), callers_.end(), [](const caller& each) {
--- a/tests/integration/caller_crowd.h
+++ b/tests/integration/caller_crowd.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,9 @@
   /// Sends `text` on every connection, a piece of `piece` bytes on each in turn. Returns when every
   /// connection has sent all of it or was closed by the other end, or after `bound`.
   void Send(const std::string& text, std::size_t piece, milliseconds bound);
+  /// Waits until the other end has read all bytes that it has received on this address' port, or
+  /// has read none of them for a second; at most for `bound`.
+  void WaitUntilRead(milliseconds bound) const;
   /// Number of connections that the other end has not closed.
   std::size_t Open() const;
 
@@ -32,6 +36,8 @@
     bool closed = false;
   };
 
+  /// Port of the other end.
+  std::uint16_t port_;
   std::vector<caller> callers_;
 };
 
--- a/tests/integration/hostile_callers_test.cc
+++ b/tests/integration/hostile_callers_test.cc
@@ -28,6 +28,8 @@
 constexpr std::size_t kPiece = std::size_t{16} * 1024;
 /// Bodies of the crowd that have not arrived by then were held up by the process itself.
 constexpr milliseconds kSendLimit{6000};
+/// Bound on the wait until the process has read what a crowd has sent.
+constexpr milliseconds kReadLimit{20000};
 /// Lets the servers answer a wave of callers before the next one.
 constexpr milliseconds kWavePause{250};
 
@@ -59,10 +61,10 @@
 
 std::string Announced(std::size_t size) { return Head("Content-Length: " + std::to_string(size)); }
 
-/// A chunked request with `size` bytes of body in chunks of `chunk` bytes, without its last chunk.
-std::string Chunked(std::size_t size, std::size_t chunk) {
+/// `size` bytes of body in chunks of `chunk` bytes, without the last chunk.
+std::string Chunks(std::size_t size, std::size_t chunk) {
   char line[32];
-  std::string text = Head("Transfer-Encoding: chunked");
+  std::string text;
   for (std::size_t sent = 0; sent < size; sent += chunk) {
     const std::size_t length = std::min(chunk, size - sent);
     std::snprintf(line, sizeof(line), "%zx\r\n", length);  // NOLINT
@@ -71,6 +73,10 @@
   return text;
 }
 
+std::string Chunked(std::size_t size, std::size_t chunk) {
+  return Head("Transfer-Encoding: chunked") + Chunks(size, chunk);
+}
+
 /// What must hold beside a crowd of `callers`, and after it.
 void CheckServes(entry_deployment& deployment, std::size_t callers = kCrowd) {
   REQUIRE(deployment.entry().Running());
@@ -101,6 +107,32 @@
   CheckServes(deployment);
 }
 
+/// A request to the port of readiness and metrics.
+std::string ReadinessHead(const std::string& framing) {
+  return "POST /v1/ready HTTP/1.1\r\nHost: vm.example\r\n" + framing + "\r\n\r\n";
+}
+
+/// What must hold beside a crowd at the port of readiness and metrics: the platform's checks are
+/// answered as well.
+void CheckServesAndReady(entry_deployment& deployment, std::size_t callers) {
+  const http_client ready(deployment.ready_address());
+  const auto answer = ready.Send({"GET", "/v1/ready", {}, ""});
+  CHECK((answer && answer->status == 200));
+  CheckServes(deployment, callers);
+}
+
+void CheckBesideReadiness(const std::string& text) {
+  entry_deployment deployment(SmallMachine());
+  deployment.WaitUntilServing();
+  {
+    caller_crowd crowd(deployment.ready_address(), kCrowd);
+    crowd.Send(text, kPiece, kSendLimit);
+    crowd.WaitUntilRead(kReadLimit);
+    CheckServesAndReady(deployment, kCrowd);
+  }
+  CheckServesAndReady(deployment, kCrowd);
+}
+
 // Guards against reserving or holding what a caller announces or sends over the limit.
 TEST_CASE("hostile callers: bodies over the limit", "[entry][hostile][alone]") {
   SECTION("announced") {
@@ -187,5 +219,46 @@
   CheckServes(deployment);
 }
 
+// Guards against holding bodies at a port whose requests need none.
+TEST_CASE("hostile callers: bodies to the port of readiness and metrics",
+          "[entry][hostile][alone]") {
+  constexpr std::size_t size = 1'000'000;
+  const std::string announced = ReadinessHead("Content-Length: " + std::to_string(size));
+  const std::string chunked = ReadinessHead("Transfer-Encoding: chunked");
+  SECTION("announced") { CheckBesideReadiness(announced + std::string(size - 1000, 'x')); }
+  SECTION("whole") { CheckBesideReadiness(announced + std::string(size, 'x')); }
+  SECTION("in large chunks") { CheckBesideReadiness(chunked + Chunks(size, 100000)); }
+  SECTION("in very small chunks") { CheckBesideReadiness(chunked + Chunks(size, 16)); }
+}
+
+// Guards against the end of the process by an exception of the HTTP library (review/11).
+TEST_CASE("hostile callers: a long trailer to the port of readiness and metrics",
+          "[entry][hostile][alone]") {
+  CheckBesideReadiness(ReadinessHead("Transfer-Encoding: chunked") + Chunks(100, 10) +
+                       "0\r\nX: " + std::string(70000, 'y') + "\r\n\r\n");
+}
+
+// Guards against answers that are held for callers which do not take them.
+TEST_CASE("hostile callers: metrics that are not taken", "[entry][hostile][alone]") {
+  std::string requests;
+  for (int i = 0; i < 1000; ++i) requests += "GET /metrics HTTP/1.1\r\nHost: vm.example\r\n\r\n";
+  CheckBesideReadiness(requests);
+}
+
+// Guards against checks that use up the descriptors which callers and servers need.
+TEST_CASE("hostile callers: more connections to the port of readiness than descriptors",
+          "[entry][hostile][alone]") {
+  constexpr std::size_t max_sockets = 100;
+  entry_deployment deployment({.max_fds = max_sockets + 200});
+  deployment.WaitUntilServing();
+  {
+    caller_crowd crowd(deployment.ready_address(), kCrowd);
+    crowd.Send("GET /v1/ready HTTP/1.1\r\nHost: vm.exa", kPiece, kSendLimit);
+    CheckServesAndReady(deployment, kCrowd);
+    CHECK(Descriptors(deployment.entry()) < max_sockets);
+  }
+  CheckServesAndReady(deployment, kCrowd);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
