peer: unfinished frames and accepted connections are bounded

Found beside the port of readiness and metrics, with the same cause: a bound for one connection is none for the process.

Cause: a connection that says it is a VM made the process reserve up to 256 kB with the four bytes of a frame's length, for as long as it stayed open, and the number of such connections had no bound. They could also use up the descriptors.

Change: frames are received in pieces of 16 kB and counted in an ingress_budget of their own, a sixteenth of the memory (4 MB at least); a whole frame frees its memory. The port accepts at most 0.15 of the sockets, 1,024 at most, which all VMs of the target size fit into; a further connection closes the one that has received nothing for the longest time.

--- a/include/waxwingwing/peer/peer_network.h
+++ b/include/waxwingwing/peer/peer_network.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "waxwingwing/core/ids.h"
+#include "waxwingwing/core/ingress_budget.h"
 #include "waxwingwing/core/random_source.h"
 #include "waxwingwing/core/result.h"
 #include "waxwingwing/core/units.h"
@@ -39,6 +40,11 @@
   /// Delay before reconnecting; it doubles after each failure, with jitter of 50%.
   milliseconds initial_backoff{100};
   milliseconds max_backoff{2000};
+  /// Accepted connections at a time; a further one closes the one that has received nothing for the
+  /// longest time.
+  std::size_t max_accepted = 1024;
+  /// Bytes of frames that have not arrived whole, over all connections.
+  ingress_limits unfinished_frames{byte_count(std::uint64_t{16} << 20U)};
 };
 
 /// Exchanges messages with the other entry VMs of the cluster.
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <variant>
 
+#include "entry/forward_limits.h"
 #include "entry/link_messages.h"
 #include "waxwingwing/core/hash.h"
 #include "waxwingwing/platform/pause.h"
@@ -35,6 +36,7 @@
   peers.silence_limit = milliseconds(1000);
   peers.connect_timeout = milliseconds(400);
   peers.max_backoff = milliseconds(800);
+  LimitPeers(settings, peers);
   return peers;
 }
 
--- a/src/entry/forward_limits.cc
+++ b/src/entry/forward_limits.cc
@@ -25,6 +25,11 @@
 /// The same for the port of readiness and metrics.
 constexpr double kReadinessFraction = 0.05;
 constexpr std::size_t kMaxReadinessConnections = 32;
+/// The same for connections of other VMs. All VMs of a deployment may connect to one.
+constexpr double kPeerFraction = 0.15;
+/// Fraction of the memory for other VMs' messages that have not arrived whole.
+constexpr std::uint64_t kUnfinishedFramesDivisor = 16;
+constexpr byte_count kMinUnfinishedFrames{std::uint64_t{4} << 20U};
 
 /// A fraction of the descriptors that sockets may use, at most `limit`; `limit` when the settings
 /// do not state the number of descriptors.
@@ -59,4 +64,11 @@
   return PartOfSockets(settings, kReadinessFraction, kMaxReadinessConnections);
 }
 
+void LimitPeers(const entry_settings& settings, peer_settings& peers) {
+  peers.max_accepted = PartOfSockets(settings, kPeerFraction, peers.max_accepted);
+  if (settings.memory.get() == 0) return;
+  peers.unfinished_frames.total =
+      std::max(byte_count(settings.memory.get() / kUnfinishedFramesDivisor), kMinUnfinishedFrames);
+}
+
 }  // namespace waxwingwing
--- a/src/entry/forward_limits.h
+++ b/src/entry/forward_limits.h
@@ -4,6 +4,7 @@
 
 #include "waxwingwing/entry/entry_settings.h"
 #include "waxwingwing/forward/forward_options.h"
+#include "waxwingwing/peer/peer_network.h"
 
 namespace waxwingwing {
 
@@ -15,6 +16,9 @@
 /// or two.
 std::size_t MaxReadinessConnections(const entry_settings& settings);
 
+/// Bounds what the connections of other VMs may hold, by this VM's memory and descriptors.
+void LimitPeers(const entry_settings& settings, peer_settings& peers);
+
 /// Makes the allocator return large freed blocks to the system, so that memory which was used for
 /// callers once does not add to other uses later. For the whole process.
 void ReturnFreedBlocks();
--- a/src/peer/peer_counters.cc
+++ b/src/peer/peer_counters.cc
@@ -6,9 +6,9 @@
 
 std::string_view CloseReasonName(close_reason reason) {
   static constexpr std::string_view kNames[] = {
-      "ended",     "connect_failed", "oversized",     "unknown_version", "unknown_type",
-      "malformed", "no_hello_first", "hello_timeout", "other_cluster",   "unexpected_vm",
-      "silent",    "replaced",       "stopped",
+      "ended",     "connect_failed", "oversized",     "unknown_version",  "unknown_type",
+      "malformed", "no_hello_first", "hello_timeout", "other_cluster",    "unexpected_vm",
+      "silent",    "replaced",       "too_many",      "unfinished_frame", "stopped",
   };
   static_assert(std::size(kNames) == static_cast<std::size_t>(close_reason::kStopped) + 1);
   return kNames[static_cast<std::size_t>(reason)];
--- a/src/peer/peer_counters.h
+++ b/src/peer/peer_counters.h
@@ -21,6 +21,10 @@
   kUnexpectedVm,
   kSilent,
   kReplaced,
+  /// Had received nothing for the longest time when there were too many connections.
+  kTooMany,
+  /// Held the most, or for the longest time, when too much of frames had not arrived whole.
+  kUnfinishedFrame,
   kStopped,
 };
 
--- a/src/peer/peer_network.cc
+++ b/src/peer/peer_network.cc
@@ -25,8 +25,9 @@
       : context_(context),
         random_(random),
         on_message_(std::move(on_message)),
-        shared_(std::make_shared<peer_session::shared_state>(
-            peer_session::shared_state{settings, HelloOf(settings), peer_counters(metrics)})) {}
+        shared_(std::make_shared<peer_session::shared_state>(peer_session::shared_state{
+            settings, HelloOf(settings), peer_counters(metrics),
+            std::make_shared<ingress_budget>(settings.unfinished_frames)})) {}
 
   void Start() { server_ = std::make_shared<peer_server>(context_, shared_, Handler()); }
 
--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -1,5 +1,6 @@
 #include "peer/peer_server.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -86,7 +87,19 @@
   }
 }
 
+void peer_server::CloseQuietest() {
+  const auto quietest =
+      std::min_element(sessions_.begin(), sessions_.end(), [](const auto& left, const auto& right) {
+        return left->last_received() < right->last_received();
+      });
+  if (quietest == sessions_.end()) return;
+  // Closing removes the session from the set.
+  const session_pointer session = *quietest;
+  session->Close(close_reason::kTooMany);
+}
+
 void peer_server::StartSession(tcp::socket socket) {
+  if (sessions_.size() >= shared_->settings.max_accepted) CloseQuietest();
   const std::weak_ptr<peer_server> weak = weak_from_this();
   const auto weak_session = std::make_shared<std::weak_ptr<peer_session>>();
   peer_session::events callbacks;
--- a/src/peer/peer_server.h
+++ b/src/peer/peer_server.h
@@ -43,6 +43,8 @@
   std::optional<close_reason> CheckHello(const session_pointer& session,
                                          const hello_message& hello);
   void RemoveSession(const session_pointer& session);
+  /// Closes the session that has received nothing for the longest time.
+  void CloseQuietest();
 
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_retry_timer_;
--- a/src/peer/peer_session.cc
+++ b/src/peer/peer_session.cc
@@ -1,5 +1,6 @@
 #include "peer/peer_session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -16,6 +17,8 @@
 
 // Limits the memory that a peer can make the process reserve before its hello is accepted.
 constexpr std::size_t kMaxHelloBytes = 4096;
+/// Bytes of a frame that are received, and for which memory is reserved, at a time.
+constexpr std::size_t kReadSize = std::size_t{16} * 1024;
 constexpr int kChecksPerSilenceLimit = 4;
 // Frames that are written by one system call.
 constexpr std::size_t kMaxFramesPerWrite = 16;
@@ -28,7 +31,10 @@
       timer_(socket_.get_executor()),
       shared_(std::move(shared)),
       callbacks_(std::make_shared<const events>(std::move(callbacks))),
+      unfinished_frame_(shared_->unfinished_frames,
+                        [this](std::size_t /*bytes*/) { Close(close_reason::kUnfinishedFrame); }),
       started_at_(std::chrono::steady_clock::now()),
+      last_received_(started_at_),
       last_sent_(started_at_) {}
 
 peer_session::~peer_session() = default;
@@ -107,21 +113,40 @@
       self->Close(ReasonOf(length.error));
       break;
     }
-    body.resize(length.bytes);
-    const std::size_t body_bytes = co_await asio::async_read(
-        self->socket_, asio::buffer(body), asio::redirect_error(asio::use_awaitable, error));
-    self->shared_->counters.bytes_received.Increment(body_bytes);
-    if (error) break;
+    const bool arrived = co_await self->ReadBody(body, length.bytes);
+    if (!arrived) break;
     self->Handle(body);
+    // A large frame must not keep its memory until the next one.
+    body = std::string();
   }
   self->Close(close_reason::kEnded);
 }
 
+asio::awaitable<bool> peer_session::ReadBody(std::string& body, std::size_t size) {
+  error_code error;
+  unfinished_frame_.BeginWait(std::chrono::steady_clock::now());
+  while (body.size() < size) {
+    const std::size_t received = body.size();
+    body.resize(received + std::min(kReadSize, size - received));
+    unfinished_frame_.Hold(body.capacity(), std::chrono::steady_clock::now());
+    if (closed_) co_return false;
+    const auto space = asio::buffer(body.data() + received, body.size() - received);
+    const std::size_t bytes =
+        co_await asio::async_read(socket_, space, asio::redirect_error(asio::use_awaitable, error));
+    shared_->counters.bytes_received.Increment(bytes);
+    if (error) co_return false;
+  }
+  unfinished_frame_.EndWait();
+  unfinished_frame_.Hold(0, std::chrono::steady_clock::now());
+  co_return true;
+}
+
 void peer_session::Handle(std::string_view body) {
   if (closed_) return;
   decoded_frame decoded = DecodeBody(body);
   if (!decoded.message) return Close(ReasonOf(decoded.error));
   shared_->counters.frames_received.Increment();
+  last_received_ = std::chrono::steady_clock::now();
   unanswered_since_.reset();
   const auto* hello = std::get_if<hello_message>(&*decoded.message);
   if (hello != nullptr) return HandleHello(*hello);
--- a/src/peer/peer_session.h
+++ b/src/peer/peer_session.h
@@ -15,6 +15,7 @@
 #include "peer/peer_counters.h"
 #include "peer/send_queue.h"
 #include "waxwingwing/core/clock.h"
+#include "waxwingwing/core/ingress_budget.h"
 #include "waxwingwing/peer/frame_codec.h"
 #include "waxwingwing/peer/peer_network.h"
 
@@ -42,6 +43,7 @@
     peer_settings settings;
     hello_message own_hello;
     peer_counters counters;
+    std::shared_ptr<ingress_budget> unfinished_frames;
   };
 
   peer_session(boost::asio::ip::tcp::socket socket, std::shared_ptr<shared_state> shared,
@@ -60,10 +62,14 @@
 
   bool established() const { return peer_.has_value() && !closed_; }
   const std::optional<hello_message>& peer() const { return peer_; }
+  /// When the last frame was received, or the session was created.
+  time_point last_received() const { return last_received_; }
 
  private:
   boost::asio::awaitable<void> ReadFrames(std::shared_ptr<peer_session> self);
   boost::asio::awaitable<void> MonitorTimeouts(std::shared_ptr<peer_session> self);
+  /// Receives the `size` bytes that follow a frame's length; returns whether they have arrived.
+  boost::asio::awaitable<bool> ReadBody(std::string& body, std::size_t size);
   void Handle(std::string_view body);
   void HandleHello(const hello_message& hello);
   void CheckTimeouts(time_point now);
@@ -79,7 +85,10 @@
   /// The frames that are being written; empty when none is.
   std::vector<send_queue::shared_frame> writing_;
   std::optional<hello_message> peer_;
+  /// The bytes of a frame that has not arrived whole.
+  ingress_account unfinished_frame_;
   time_point started_at_;
+  time_point last_received_;
   time_point last_sent_;
   /// When the first frame after the last received one was sent.
   std::optional<time_point> unanswered_since_;
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -139,6 +139,12 @@
   return settings;
 }
 
+std::string entry_deployment::LinkAddress() const {
+  const nlohmann::json& settings = entries_.front().settings;
+  return settings.at("ip").get<std::string>() + ":" +
+         std::to_string(settings.at("port_range").at(0).get<int>());
+}
+
 nlohmann::json entry_deployment::Configuration(std::uint64_t version) const {
   const auto route = [](const char* name, const char* prefix, const char* type) {
     return nlohmann::json{{"name", name},  {"host", "desk.example"}, {"path_prefix", prefix},
--- a/tests/integration/entry_deployment.h
+++ b/tests/integration/entry_deployment.h
@@ -95,6 +95,8 @@
   std::vector<std::unique_ptr<child_process>>& runners() { return runners_; }
   std::size_t events() const { return options_.events; }
   std::string ready_address() const { return entries_.front().ready_address; }
+  /// Where the first entry VM listens for the other VMs.
+  std::string LinkAddress() const;
 
  private:
   struct entry_vm {
--- a/tests/integration/hostile_callers_test.cc
+++ b/tests/integration/hostile_callers_test.cc
@@ -15,6 +15,7 @@
 
 #include "tests/integration/caller_crowd.h"
 #include "tests/integration/entry_deployment.h"
+#include "waxwingwing/peer/frame_codec.h"
 
 namespace waxwingwing::integration {
 namespace {
@@ -133,6 +134,35 @@
   CheckServesAndReady(deployment, kCrowd);
 }
 
+/// The first frame of a connection between VMs.
+std::string Hello(const std::string& vm) {
+  const hello_message hello{"waxwingwing-entry", vm_id(vm), failure_domain_id("ifo"),
+                            incarnation(1), 1};
+  auto frame = EncodeFrame(hello);
+  REQUIRE(frame);
+  return *std::move(frame);
+}
+
+/// The length field of a frame of the largest size.
+std::string LargestLength() {
+  std::string length;
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    length.push_back(static_cast<char>((kMaxFrameBytes >> static_cast<unsigned>(shift)) & 0xffU));
+  }
+  return length;
+}
+
+/// Connections to the port for the other VMs, each of a VM of its own, which stay open.
+std::vector<std::unique_ptr<caller_crowd>> ConnectVms(const entry_deployment& deployment,
+                                                      std::size_t size, const std::string& after) {
+  std::vector<std::unique_ptr<caller_crowd>> vms;
+  for (std::size_t i = 0; i < size; ++i) {
+    vms.push_back(std::make_unique<caller_crowd>(deployment.LinkAddress(), 1));
+    vms.back()->Send(Hello("vm-" + std::to_string(i)) + after, kPiece, kSendLimit);
+  }
+  return vms;
+}
+
 // Guards against reserving or holding what a caller announces or sends over the limit.
 TEST_CASE("hostile callers: bodies over the limit", "[entry][hostile][alone]") {
   SECTION("announced") {
@@ -219,6 +249,39 @@
   CheckServes(deployment);
 }
 
+// Guards against holding whole requests without limit while their servers are silent.
+TEST_CASE("hostile callers: whole bodies that wait for silent servers", "[entry][hostile][alone]") {
+  entry_deployment deployment(
+      {.services = 4, .max_body_bytes = kMaxBodyBytes, .memory_mb = kMemoryMegabytes});
+  deployment.WaitUntilServing();
+  for (const auto& service : deployment.services()) service->Pause();
+  {
+    caller_crowd crowd(deployment.CallerAddress(0), kCrowd);
+    crowd.Send(Announced(kMaxBodyBytes - 1) + std::string(kMaxBodyBytes - 1, 'x'), kPiece,
+               kSendLimit);
+    crowd.WaitUntilRead(kReadLimit);
+    for (const auto& service : deployment.services()) service->Continue();
+    CheckServes(deployment);
+  }
+  CheckServes(deployment);
+}
+
+// Guards against connections that are kept, or counted, after their callers have closed them.
+TEST_CASE("hostile callers: connections that open and close without end",
+          "[entry][hostile][alone]") {
+  constexpr std::size_t rounds = 40;
+  entry_deployment deployment(SmallMachine());
+  deployment.WaitUntilServing();
+  const std::string unfinished = Chunked(100000, 1000);
+  for (std::size_t round = 0; round < rounds; ++round) {
+    caller_crowd callers(deployment.CallerAddress(0), kCrowd);
+    callers.Send(unfinished, kPiece, kSendLimit);
+    caller_crowd checks(deployment.ready_address(), kCrowd);
+    checks.Send("GET /metrics HTTP/1.1\r\nHost: vm.example\r\n\r\n", kPiece, kSendLimit);
+  }
+  CheckServesAndReady(deployment, kCrowd);
+}
+
 // Guards against holding bodies at a port whose requests need none.
 TEST_CASE("hostile callers: bodies to the port of readiness and metrics",
           "[entry][hostile][alone]") {
@@ -260,5 +323,59 @@
   CheckServesAndReady(deployment, kCrowd);
 }
 
+// Guards against reserving or holding frames without limit for connections that say they are VMs.
+TEST_CASE("hostile callers: unfinished frames to the port for the other VMs",
+          "[entry][hostile][alone]") {
+  constexpr std::size_t vms = 400;
+  entry_deployment deployment(SmallMachine());
+  deployment.WaitUntilServing();
+  std::string after = LargestLength();
+  SECTION("announced") {}
+  SECTION("stopped just short of their end") { after += std::string(kMaxFrameBytes - 1000, 'x'); }
+  {
+    const auto crowd = ConnectVms(deployment, vms, after);
+    crowd.front()->WaitUntilRead(kReadLimit);
+    CheckServesAndReady(deployment, vms);
+  }
+  CheckServesAndReady(deployment, vms);
+}
+
+// Guards against connections that say they are VMs and use up the descriptors.
+TEST_CASE("hostile callers: more connections of VMs than descriptors", "[entry][hostile][alone]") {
+  constexpr std::size_t max_sockets = 100;
+  entry_deployment deployment({.max_fds = max_sockets + 200});
+  deployment.WaitUntilServing();
+  {
+    const auto crowd = ConnectVms(deployment, kCrowd, "");
+    CheckServesAndReady(deployment, kCrowd);
+    CHECK(Descriptors(deployment.entry()) < max_sockets);
+  }
+  CheckServesAndReady(deployment, kCrowd);
+}
+
+// Guards against bounds that hold for each way alone and not for all of them together.
+TEST_CASE("hostile callers: several ways at once", "[entry][hostile][alone]") {
+  constexpr std::size_t callers = 60;
+  entry_deployment deployment(SmallMachine());
+  deployment.WaitUntilServing();
+  {
+    caller_crowd announced(deployment.CallerAddress(0), callers);
+    announced.Send(Announced(kMaxBodyBytes) + std::string(kMaxBodyBytes - 1000, 'x'), kPiece,
+                   kSendLimit);
+    caller_crowd chunked(deployment.CallerAddress(0), callers);
+    chunked.Send(Chunked(kMaxBodyBytes - 1000, 16), kPiece, kSendLimit);
+    caller_crowd checks(deployment.ready_address(), callers);
+    checks.Send(ReadinessHead("Transfer-Encoding: chunked") + Chunks(kMaxBodyBytes - 1000, 100000),
+                kPiece, kSendLimit);
+    const auto vms =
+        ConnectVms(deployment, callers, LargestLength() + std::string(kMaxFrameBytes - 1000, 'x'));
+    announced.WaitUntilRead(kReadLimit);
+    checks.WaitUntilRead(kReadLimit);
+    vms.front()->WaitUntilRead(kReadLimit);
+    CheckServesAndReady(deployment, 4 * callers);
+  }
+  CheckServesAndReady(deployment, 4 * callers);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
