--- a/tests/integration/soak_test.cc
+++ b/tests/integration/soak_test.cc
@@ -28,5 +28,12 @@
   for (std::uint64_t seed = 1; seed <= 3; ++seed) CheckSeed(seed, true);
 }
 
+// Guards against joins of another group for a head that was paused, whose registration lapsed and
+// which returns open.
+TEST_CASE("soak: a head that was silent leaves its group before it joins another, seed 5440",
+          "[soak]") {
+  CheckSeed(5440);
+}
+
 }  // namespace
 }  // namespace waxwingwing::integration
