--- a/src/peer/peer_server.cc
+++ b/src/peer/peer_server.cc
@@ -94,7 +94,7 @@
       });
   if (quietest == sessions_.end()) return;
   // Closing removes the session from the set.
-  const session_pointer session = *quietest;
+  const session_pointer session = (*quietest)->shared_from_this();
   session->Close(close_reason::kTooMany);
 }
 
