Planner tests: check for emptiness as the linter asks

Change: the checks are those of the other tests of this file, as strict, and print the violations that they find.

--- a/tests/unit/group_planner_test.cc
+++ b/tests/unit/group_planner_test.cc
@@ -294,7 +294,8 @@
     CHECK(simulation.ServingGroups()["large"] == 1);
     simulation.Run(seconds(12));
     CHECK(simulation.GroupOf(members[0]) != group);
-    CHECK(simulation.violations() == std::vector<std::string>{});
+    CAPTURE(simulation.violations());
+    CHECK(simulation.violations().empty());
   }
 }
 
@@ -314,7 +315,8 @@
     simulation.SetFaults(faults);
     simulation.Run(seconds(90));
     CAPTURE(seed);
-    CHECK(simulation.violations() == std::vector<std::string>{});
+    CAPTURE(simulation.violations());
+    CHECK(simulation.violations().empty());
   }
 }
 
