store_client: log how far each read of records came; log when a VM learned of, asked for and got them

Cause: a read that was not answered in time left one line, without how many bytes had come or what it waited for, and nothing said when a VM learned of a newer record. Change: http_client states when the connection and the head of the answer were there, when the exchange ended and how many bytes had come; store_read logs that for failed, long and large reads. operators_records_announced and operators_records_received show when a VM learned of a record and when it asked for and got it; configuration_changed shows when it applied it. No change of behaviour.

--- a/include/waxwingwing/platform/http_client.h
+++ b/include/waxwingwing/platform/http_client.h
@@ -13,6 +13,7 @@
 #include <string_view>
 #include <vector>
 
+#include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/result.h"
 #include "waxwingwing/core/units.h"
 #include "waxwingwing/metrics/metrics_registry.h"
@@ -65,11 +66,22 @@
   std::string_view Header(std::string_view name) const;
 };
 
+/// How far an exchange came on its last connection, for log lines. Times count from the call.
+struct exchange_progress {
+  /// Absent when there was no connection, or no head of an answer.
+  std::optional<duration> connected_after;
+  std::optional<duration> head_after;
+  duration ended_after{};
+  /// Bytes of answers, with their heads.
+  std::size_t bytes_received = 0;
+};
+
 /// Result of an exchange: a reply or a failure, and whether the request was sent.
 struct http_exchange {
   result<http_reply> reply;
   /// No byte of the request left this process. Never true when there is a reply.
   bool not_sent = false;
+  exchange_progress progress = {};
 };
 
 /// Sends single HTTP requests to `ip:port` addresses and keeps idle connections for reuse.
@@ -93,6 +105,8 @@
 
  private:
   class connection_pool;
+  boost::asio::awaitable<http_exchange> Run(http_request request, time_point called_at,
+                                            exchange_progress& progress);
   void CountBytes(std::string_view service, std::size_t sent, std::size_t received);
 
   metrics_registry* metrics_;
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -86,6 +86,7 @@
   RecordEra(page->era, entry_.clock.Now());
   if (IsCompleteReadDue()) restored_at_.reset();
   stored_version_ = 0;
+  LogRecords(*page, 0, sent_at);
   Apply(*page, !restored_at_);
   position_ = store_position{page->era, page->next};
   if (MayConfirm()) Confirm(sent_at, sent_at);
@@ -124,6 +125,12 @@
 void configuration_controller::OnControllerView(const operators_view& view) {
   if (!position_ || !view.confirmed_at || view.next < *position_) return;
   if (view.next > *position_) {
+    if (!announced_ || *announced_ < view.next) {
+      announced_ = view.next;
+      entry_.log.Write(
+          "operators_records_announced",
+          {{"next", view.next.offset}, {"era", view.next.era.get()}, {"known", position_->offset}});
+    }
     is_behind_ = true;
     return pause_.Wake();
   }
@@ -162,6 +169,7 @@
     position_.reset();
     co_return true;
   }
+  if (!page->records.empty()) LogRecords(*page, position_->offset, sent_at);
   Apply(*page, false);
   position_->offset = page->next;
   // A page holds only a part of many large records; older ones confirm nothing.
@@ -198,6 +206,19 @@
   on_change_();
 }
 
+void configuration_controller::LogRecords(const store_page& page, std::uint64_t from,
+                                          time_point asked_at) const {
+  std::size_t bytes = 0;
+  for (const store_record& record : page.records) bytes += record.value.value_or("").size();
+  entry_.log.Write("operators_records_received", {{"from", from},
+                                                  {"next", page.next},
+                                                  {"end", page.end},
+                                                  {"era", page.era.get()},
+                                                  {"records", page.records.size()},
+                                                  {"bytes", bytes},
+                                                  {"asked_ms_ago", entry_.clock.Now() - asked_at}});
+}
+
 void configuration_controller::ApplyConfiguration(const std::string& text) {
   auto decoded = DecodeConfiguration(text);
   is_newest_unreadable_ = !decoded;
--- a/src/entry/configuration_controller.h
+++ b/src/entry/configuration_controller.h
@@ -51,6 +51,8 @@
   bool MayConfirm() const;
   /// Whether the last confirmation is too old to wait for one by the controller.
   bool IsReadDue() const;
+  /// Logs records that have arrived, with when they were asked for.
+  void LogRecords(const store_page& page, std::uint64_t from, time_point asked_at) const;
   /// Applies records; `is_complete` when domains without a record are not evacuated.
   void Apply(const store_page& page, bool is_complete);
   void ApplyConfiguration(const std::string& text);
@@ -67,6 +69,8 @@
   wakeable_pause pause_;
   /// Whether the controller knows of records that this VM has not read.
   bool is_behind_ = false;
+  /// The place after the newest record of which the controller has told, for log lines.
+  std::optional<store_position> announced_;
   dependency_health health_;
   std::optional<store_position> position_;
   std::optional<store_era> era_;
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -54,6 +54,10 @@
 /// answered late.
 constexpr milliseconds kRevokeMargin{900};
 
+/// Size in bytes, and time beyond the store's wait, from which a read of the store is logged.
+constexpr std::size_t kLargeRead = std::size_t{64} * 1024;
+constexpr milliseconds kLongRead{200};
+
 /// Owns the components of the entry process, connects them and runs them on one thread.
 class entry_daemon final : public forward_hooks {
  public:
@@ -97,6 +101,7 @@
       metrics_.Gauge("waxwingwing_store_era").Set(static_cast<std::int64_t>(era.get()));
       if (usage_) usage_->OnEra(era);
     });
+    store_.SetReadHook([this](const store_read_event& read) { LogRead(read); });
     for (const auto& started : {readiness_server_.Start(settings_.readiness_address),
                                 forwarder_.Start(settings_.caller_address)}) {
       if (started) continue;
@@ -231,6 +236,23 @@
     forwarder_.SetMap(std::move(map));
   }
 
+  /// Logs a read of the store that failed, took long or brought many bytes.
+  void LogRead(const store_read_event& read) {
+    const exchange_progress& progress = read.progress;
+    const bool is_routine = read.outcome == "status 200" && progress.bytes_received < kLargeRead &&
+                            progress.ended_after < read.wait + kLongRead;
+    if (is_routine) return;
+    log_.Write("store_read", {{"stream", NameOf(read.stream)},
+                              {"list", read.is_list},
+                              {"offset", read.offset},
+                              {"wait_ms", read.wait},
+                              {"outcome", read.outcome},
+                              {"connected_ms", progress.connected_after.value_or(milliseconds(-1))},
+                              {"head_ms", progress.head_after.value_or(milliseconds(-1))},
+                              {"ended_ms", progress.ended_after},
+                              {"bytes", progress.bytes_received}});
+  }
+
   awaitable<void> ReportUsage() {
     for (;;) {
       co_await Pause(context_, kUsageInterval);
--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -47,6 +47,7 @@
   bool identified = false;
   std::size_t bytes_sent = 0;
   std::size_t bytes_received = 0;
+  std::optional<time_point> head_at;
 };
 
 /// To which request an answer belongs, by the header that identifies it.
@@ -135,6 +136,7 @@
   error_code error = head.error;
   outcome.bytes_received += head.bytes;
   if (!error) {
+    outcome.head_at = std::chrono::steady_clock::now();
     outcome.bytes_received += co_await http::async_read(stream, buffer, *parser, StoreError(error));
   }
   outcome.response_started = outcome.bytes_received > 0 || parser->got_some() || buffer.size() > 0;
@@ -282,13 +284,26 @@
 }
 
 asio::awaitable<http_exchange> http_client::Exchange(http_request request) {
+  const time_point called_at = std::chrono::steady_clock::now();
+  exchange_progress progress;
+  http_exchange exchange = co_await Run(std::move(request), called_at, progress);
+  progress.ended_after = std::chrono::steady_clock::now() - called_at;
+  exchange.progress = progress;
+  co_return exchange;
+}
+
+asio::awaitable<http_exchange> http_client::Run(http_request request, time_point called_at,
+                                                exchange_progress& progress) {
   const std::string fault = InvalidRequestReason(request);
   if (!fault.empty()) co_return NotSent(request, fault);
   const auto endpoint = ParseIpEndpoint(request.address);
   if (!endpoint) co_return NotSent(request, endpoint.reason());
-  const time_point deadline = std::chrono::steady_clock::now() + request.timeout;
+  const time_point deadline = called_at + request.timeout;
 
   const auto record = [&](const attempt_result& outcome, std::unique_ptr<tcp_stream> used) {
+    progress.bytes_received = outcome.bytes_received;
+    progress.head_after.reset();
+    if (outcome.head_at) progress.head_after = *outcome.head_at - called_at;
     CountBytes(request.service, outcome.bytes_sent, outcome.bytes_received);
     if (outcome.reply && request.reset_on_failure) SetResetOnClose(*used, false);
     const std::string group = outcome.identified ? std::string() : request.unidentified_group;
@@ -304,6 +319,7 @@
     if (unidentified) stream = idle_->Take(request.address, request.unidentified_group);
   }
   if (stream) {
+    progress.connected_after = std::chrono::steady_clock::now() - called_at;
     if (request.reset_on_failure) SetResetOnClose(*stream, true);
     attempt_result first = co_await RunAttempt(*stream, request, deadline, unidentified);
     record(first, std::move(stream));
@@ -311,12 +327,14 @@
     if (!may_retry) co_return Finished(request, std::move(first));
   }
 
+  progress.connected_after.reset();
   const auto executor = co_await asio::this_coro::executor;
   stream = std::make_unique<tcp_stream>(executor);
   stream->expires_at(deadline);
   error_code error;
   co_await stream->async_connect(*endpoint, asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return NotSent(request, "connecting: " + error.message());
+  progress.connected_after = std::chrono::steady_clock::now() - called_at;
   stream->socket().set_option(asio::ip::tcp::no_delay(true), error);
   // Set in advance, since the stream closes itself at the time-out.
   if (request.reset_on_failure) SetResetOnClose(*stream, true);
