store_client: a read of records that arrives or is still due is not begun again

Cause: a read gave up after 500 ms for the whole answer and asked again. A busy store answers in turn, so the new call waited behind the old one, whose answer used the link for nobody: 822 reads of one record given up in 4.4 s at 295 VMs, 744 of them before the head. Ruled out: a longer time-out for all calls, which would notice a silent store later. Result: store_client_test passes, with the three new cases.

--- a/include/waxwingwing/platform/http_client.h
+++ b/include/waxwingwing/platform/http_client.h
@@ -25,6 +25,14 @@
   std::string value;
 };
 
+/// Time limits for the body of an answer.
+struct body_time_limits {
+  /// Longest time without a byte.
+  milliseconds pause{};
+  /// Longest time from the head to the last byte.
+  milliseconds total{};
+};
+
 struct http_request {
   /// `ip:port`.
   std::string address;
@@ -41,8 +49,11 @@
   /// Empty: such connections are not kept.
   std::string unidentified_group;
   std::string body;
-  /// For the whole exchange, from connecting to the last byte of the answer.
+  /// For the whole exchange, from connecting to the last byte of the answer; until the head of the
+  /// answer when `body_limits` are given.
   milliseconds timeout{1000};
+  /// For answers whose size decides how long they take.
+  std::optional<body_time_limits> body_limits;
   /// Maximum size of the answer's body; the exchange fails when it is exceeded.
   byte_count body_limit{std::uint64_t{1} << 20U};
   /// Whether an idle connection may be used and the connection may be kept afterwards.
@@ -53,6 +64,8 @@
   /// Resets the connection when the exchange fails, so that bytes which the network still holds do
   /// not reach the server later.
   bool reset_on_failure = false;
+  /// Called when the head of an answer has arrived.
+  std::function<void()> on_head;
   /// Label of the byte counters.
   std::string_view service = "other";
 };
@@ -100,6 +113,8 @@
   http_client& operator=(const http_client&) = delete;
 
   boost::asio::awaitable<http_exchange> Exchange(http_request request);
+  /// Closes the idle connections to an address, which may have gone silent.
+  void DropIdle(const std::string& address);
   /// Like `Exchange`, for callers that do not need to know whether a failed request was sent.
   boost::asio::awaitable<result<http_reply>> Send(http_request request);
 
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -76,13 +76,14 @@
 }
 
 awaitable<bool> configuration_controller::ReadAll() {
-  const time_point sent_at = entry_.clock.Now();
+  const time_point called_at = entry_.clock.Now();
   const auto page = co_await store_.ReadNewest(store_stream::kOperators);
   if (!page || !page->missing_reason.empty()) {
     health_.Failed(page ? page->missing_reason : page.reason());
     co_return false;
   }
   health_.Succeeded();
+  const time_point sent_at = called_at - page->asked_before;
   RecordEra(page->era, entry_.clock.Now());
   if (IsCompleteReadDue()) restored_at_.reset();
   stored_version_ = 0;
@@ -153,7 +154,7 @@
 }
 
 awaitable<bool> configuration_controller::ReadUpdates(milliseconds wait) {
-  const time_point sent_at = entry_.clock.Now();
+  const time_point called_at = entry_.clock.Now();
   is_behind_ = false;
   const auto page = co_await store_.ReadFrom(store_stream::kOperators, position_->offset, wait);
   if (!page) {
@@ -169,6 +170,7 @@
     position_.reset();
     co_return true;
   }
+  const time_point sent_at = called_at - page->asked_before;
   if (!page->records.empty()) LogRecords(*page, position_->offset, sent_at);
   Apply(*page, false);
   position_->offset = page->next;
@@ -179,7 +181,8 @@
   }
   // The store returns an empty page only after the full wait, so there was no new record until
   // then.
-  const bool waited = page->records.empty() && entry_.clock.Now() - sent_at >= wait;
+  const bool waited = page->records.empty() && page->asked_before == duration::zero() &&
+                      entry_.clock.Now() - called_at >= wait;
   const time_point confirmed_at = waited ? sent_at + wait : sent_at;
   if (MayConfirm()) Confirm(confirmed_at, confirmed_at);
   if (!page->records.empty()) co_await Pause(entry_.context, kBatchPause);
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -86,7 +86,7 @@
 }
 
 awaitable<bool> directory_controller::ReadAll() {
-  const time_point sent_at = entry_.clock.Now();
+  const time_point called_at = entry_.clock.Now();
   const auto page = co_await store_.ReadNewest(store_stream::kServers);
   if (!page) {
     health_.Failed(page.reason());
@@ -94,6 +94,7 @@
   }
   if (!MayUse(*page)) co_return false;
   const bool is_complete = page->missing_reason.empty();
+  const time_point sent_at = called_at - page->asked_before;
   const time_point now = entry_.clock.Now();
   // The copy lacks servers that have registered since it was made; they register again.
   if (era_ && page->era != *era_) restored_at_ = now;
@@ -150,7 +151,7 @@
 }
 
 awaitable<bool> directory_controller::ReadUpdates() {
-  const time_point sent_at = entry_.clock.Now();
+  const time_point called_at = entry_.clock.Now();
   const store_position from = *position_;
   const auto page = co_await store_.ReadFrom(store_stream::kServers, from.offset, kReadWait);
   if (!page) {
@@ -178,6 +179,7 @@
   // A feed may have led further while the read was under way.
   const store_position known = *position_;
   const store_position next = std::max(store_position{page->era, page->next}, known);
+  const time_point sent_at = called_at - page->asked_before;
   const auto known_at =
       is_behind_ ? entry_.state.directory_confirmed_at : std::optional<time_point>(sent_at);
   registration_read read{read_coverage::kRecords, known, next, {}, known_at.value_or(time_point())};
--- a/src/platform/http_client.cc
+++ b/src/platform/http_client.cc
@@ -123,11 +123,29 @@
 
 using response_parser = http::response_parser<http::string_body>;
 
+/// Reads the rest of a response whose head was read; returns the number of bytes.
+asio::awaitable<std::size_t> ReadBody(tcp_stream& stream, const http_request& request,
+                                      beast::flat_buffer& buffer, response_parser& parser,
+                                      error_code& error) {
+  const auto& limits = request.body_limits;
+  const time_point started_at = std::chrono::steady_clock::now();
+  std::size_t bytes = 0;
+  while (!error && !parser.is_done()) {
+    if (limits) {
+      stream.expires_at(
+          std::min(std::chrono::steady_clock::now() + limits->pause, started_at + limits->total));
+    }
+    bytes += co_await http::async_read_some(stream, buffer, parser, StoreError(error));
+  }
+  co_return bytes;
+}
+
 /// Reads the next final response with its body and records it in `outcome`; false on failure.
 asio::awaitable<bool> ReadResponse(tcp_stream& stream, const http_request& request,
-                                   beast::flat_buffer& buffer,
+                                   time_point deadline, beast::flat_buffer& buffer,
                                    std::optional<response_parser>& parser,
                                    attempt_result& outcome) {
+  stream.expires_at(deadline);
   const response_limits limits{kHeaderLimit, request.body_limit.get()};
   // Beast 1.74 loses the body limit error of a header that it parses together with its body, so
   // the header is read separately.
@@ -137,7 +155,8 @@
   outcome.bytes_received += head.bytes;
   if (!error) {
     outcome.head_at = std::chrono::steady_clock::now();
-    outcome.bytes_received += co_await http::async_read(stream, buffer, *parser, StoreError(error));
+    if (request.on_head) request.on_head();
+    outcome.bytes_received += co_await ReadBody(stream, request, buffer, *parser, error);
   }
   outcome.response_started = outcome.bytes_received > 0 || parser->got_some() || buffer.size() > 0;
   if (!error) co_return true;
@@ -149,12 +168,13 @@
 /// Reads the answer to a request that was sent. `accepts_unidentified`: whether the next response
 /// is the answer when it does not say to which request it belongs.
 asio::awaitable<attempt_result> ReadAnswer(tcp_stream& stream, const http_request& request,
-                                           bool accepts_unidentified) {
+                                           time_point deadline, bool accepts_unidentified) {
   attempt_result outcome;
   beast::flat_buffer buffer(kMaxBufferBytes);
   std::optional<response_parser> parser;
   for (int skipped_answers = 0; skipped_answers <= kMaxForeignAnswers; ++skipped_answers) {
-    const bool has_response = co_await ReadResponse(stream, request, buffer, parser, outcome);
+    const bool has_response =
+        co_await ReadResponse(stream, request, deadline, buffer, parser, outcome);
     if (!has_response) co_return outcome;
     const answer_owner owner = OwnerOf(parser->get(), request.answer_id);
     if (owner == answer_owner::kOtherRequest) continue;
@@ -186,7 +206,7 @@
   const std::size_t sent =
       co_await http::async_write(stream, message, asio::redirect_error(asio::use_awaitable, error));
   if (error) co_return FailedAttempt("sending", error);
-  attempt_result outcome = co_await ReadAnswer(stream, request, accepts_unidentified);
+  attempt_result outcome = co_await ReadAnswer(stream, request, deadline, accepts_unidentified);
   outcome.bytes_sent = sent;
   co_return outcome;
 }
@@ -343,6 +363,8 @@
   co_return Finished(request, std::move(outcome));
 }
 
+void http_client::DropIdle(const std::string& address) { idle_->Drop(address); }
+
 asio::awaitable<result<http_reply>> http_client::Send(http_request request) {
   http_exchange exchange = co_await Exchange(std::move(request));
   co_return std::move(exchange.reply);
--- a/tests/unit/scripted_http_server.h
+++ b/tests/unit/scripted_http_server.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -41,6 +42,11 @@
     std::string bytes_before = {};
     /// Written as they are instead of an answer.
     std::string raw_answer = {};
+    /// Time before the answer in `slow_parts`.
+    std::chrono::milliseconds delay{0};
+    /// Written one after the other, with pauses between them, instead of an answer.
+    std::vector<std::string> slow_parts = {};
+    std::chrono::milliseconds part_pause{0};
     /// Headers of the answer.
     std::vector<std::pair<std::string, std::string>> headers = {};
     /// Name of a request header that the answer repeats, if the request has it.
@@ -117,6 +123,19 @@
       if (next.stay_silent) silent_.push_back(peer);
       if (next.stay_silent) co_return;
 
+      if (next.delay.count() > 0) {
+        boost::asio::steady_timer pause(acceptor_.get_executor(), next.delay);
+        co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      }
+      for (const std::string& part : next.slow_parts) {
+        co_await boost::asio::async_write(
+            *peer, boost::asio::buffer(part),
+            boost::asio::redirect_error(boost::asio::use_awaitable, error));
+        boost::asio::steady_timer pause(acceptor_.get_executor(), next.part_pause);
+        co_await pause.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, error));
+      }
+      if (!next.slow_parts.empty()) continue;
+
       const std::string raw = next.bytes_before + next.raw_answer;
       co_await boost::asio::async_write(
           *peer, boost::asio::buffer(raw),
--- a/tests/unit/stall_notice_channel_test.cc
+++ b/tests/unit/stall_notice_channel_test.cc
@@ -6,20 +6,13 @@
 #include <string>
 #include <vector>
 
+#include "tests/unit/big_endian.h"
 #include "tests/unit/run_awaitable.h"
 #include "tests/unit/scripted_http_server.h"
 
 namespace waxwingwing {
 namespace {
 
-std::string BigEndian(std::uint64_t number, std::size_t bytes) {
-  std::string text;
-  for (std::size_t i = bytes; i > 0; --i) {
-    text += static_cast<char>(number >> (8 * (i - 1)) & 0xffU);
-  }
-  return text;
-}
-
 /// A page of the store that ends at `end` with these notices.
 std::string Page(std::uint64_t end, const std::vector<std::string>& groups) {
   std::string page = BigEndian(end, 8) + BigEndian(0, 8);
--- a/tests/unit/store_client_test.cc
+++ b/tests/unit/store_client_test.cc
@@ -2,7 +2,9 @@
 
 #include <catch2/catch.hpp>
 #include <string>
+#include <utility>
 
+#include "tests/unit/big_endian.h"
 #include "tests/unit/run_awaitable.h"
 #include "tests/unit/scripted_http_server.h"
 
@@ -112,6 +114,68 @@
   }
 }
 
+/// The answer to a read of a configuration of `bytes`, in `parts` with a pause before each but the
+/// first.
+scripted_http_server::step SlowRecord(std::size_t bytes, std::size_t parts, milliseconds pause) {
+  const std::string record = "\6config" + std::string(bytes, 'x');
+  const std::string body = BigEndian(6, 8) + BigEndian(0, 8) + BigEndian(record.size(), 4) + record;
+  const std::string whole =
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+  scripted_http_server::step answer;
+  answer.part_pause = pause;
+  const std::size_t size = whole.size() / parts + 1;
+  for (std::size_t begin = 0; begin < whole.size(); begin += size) {
+    answer.slow_parts.push_back(whole.substr(begin, size));
+  }
+  return answer;
+}
+
+// Guards against versions that are in force too late: when all VMs read a large record at one
+// moment, it arrived for longer than a call may take, and each of them began again from nothing.
+TEST_CASE("a record that arrives for longer than a call may take is read", "[platform]") {
+  store_fixture fixture;
+  fixture.server.Add(SlowRecord(400'000, 9, milliseconds(100)));
+  const auto page = RunAwaitable(
+      fixture.context, fixture.store.ReadFrom(store_stream::kOperators, 5, milliseconds(0)));
+  REQUIRE(page);
+  REQUIRE(page->records.size() == 1);
+  CHECK(page->records[0].value->size() == 400'000);
+  CHECK(fixture.server.seen().size() == 1);
+}
+
+// Guards against reads that wait without end for a store that has stopped in an answer.
+TEST_CASE("a read whose records stop arriving fails", "[platform]") {
+  store_fixture fixture;
+  auto answer = SlowRecord(400'000, 4, milliseconds(100));
+  answer.slow_parts.pop_back();
+  fixture.server.Add(std::move(answer));
+  const auto began_at = std::chrono::steady_clock::now();
+  CHECK(!RunAwaitable(fixture.context,
+                      fixture.store.ReadFrom(store_stream::kOperators, 5, milliseconds(0))));
+  CHECK(std::chrono::steady_clock::now() - began_at < std::chrono::seconds(2));
+}
+
+// Guards against a busy store that gets busier: it answers in turn, and a VM that asks again waits
+// behind its own first call, whose answer comes when nobody waits for it any more.
+TEST_CASE("an answer that comes after its call was given up answers the next one", "[platform]") {
+  store_fixture fixture;
+  auto late = SlowRecord(1000, 1, milliseconds(0));
+  late.delay = milliseconds(800);
+  fixture.server.Add(std::move(late));
+  scripted_http_server::step silent;
+  silent.stay_silent = true;
+  fixture.server.Add(silent);
+  const auto read = [&] {
+    return RunAwaitable(fixture.context,
+                        fixture.store.ReadFrom(store_stream::kOperators, 5, milliseconds(0)));
+  };
+  CHECK(!read());
+  const auto page = read();
+  REQUIRE(page);
+  CHECK(page->records.size() == 1);
+  CHECK(page->asked_before >= milliseconds(400));
+}
+
 // Guards against VMs that never start because of one page: what the pages before it hold is known.
 TEST_CASE("the pages of a list before one that cannot be read are kept", "[platform]") {
   store_fixture fixture;
