entry: the operators' records are passed on from VM to VM

Cause: each VM read a new record from the store when the controller told of it. 295 VMs asked for 0.33 MB at one moment; 144 of them had it five seconds later. Change: the controller and the relays send the newest record of each key that has changed, compressed, with a hash of the records as they were read, right after they know it. A VM that has missed it, or has just started, asks the VM that it follows; only one that gets nothing for an eighth to a quarter of the limit reads the store, and the list of the newest records rather than many versions in between. After a restore of the store each VM reads for itself, as before. Confirmations travel as before: a place in the stream and its age. Ruled out: reads spread over the limit, which cost the same calls and bytes and use up the time of a VM that meets a second fault.

--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -274,16 +274,16 @@
   MSGPACK_DEFINE(vm, sequence)
 };
 
-/// A registration as the store keeps it; no value means that the key was removed.
-struct registration_message {
+/// A record as the store keeps it; no value means that the key was removed.
+struct keyed_record_message {
   std::string key;
   std::optional<std::string> value;
 
-  bool operator==(const registration_message&) const = default;
+  bool operator==(const keyed_record_message&) const = default;
   MSGPACK_DEFINE(key, value)
 };
 
-/// A list of `registration_message`, packed with msgpack and compressed with zlib.
+/// A list of `keyed_record_message`, packed with msgpack and compressed with zlib.
 struct packed_changes {
   std::uint32_t unpacked_bytes = 0;
   std::string bytes;
@@ -292,10 +292,13 @@
   MSGPACK_DEFINE(unpacked_bytes, bytes)
 };
 
+/// Limits the memory that the receiver needs for packed records: registrations of 4,000 servers.
+inline constexpr std::uint32_t kMaxUnpackedBytes = 4U << 20U;
+
 /// Packs the changes with msgpack and compresses them.
-packed_changes PackChanges(const std::vector<registration_message>& changes);
+packed_changes PackChanges(const std::vector<keyed_record_message>& changes);
 /// Reverses `PackChanges`. Fails when the bytes are not in its format.
-result<std::vector<registration_message>> UnpackChanges(const packed_changes& packed);
+result<std::vector<keyed_record_message>> UnpackChanges(const packed_changes& packed);
 
 /// From the controller to all VMs, passed on by relays: changed registrations of backend servers,
 /// and the number of requests that all VMs together have running at each server.
@@ -340,6 +343,37 @@
                  operators_era, is_comparison)
 };
 
+/// Asks the VM that the sender follows for the operators' records.
+struct operators_request_message {
+  /// The place up to which the sender knows them; without an offset it knows none.
+  std::uint64_t era = 0;
+  std::optional<std::uint64_t> from;
+
+  bool operator==(const operators_request_message&) const = default;
+  MSGPACK_DEFINE(era, from)
+};
+
+/// Limits the memory that the receiver needs for records that are sent in parts.
+inline constexpr std::uint32_t kMaxRecordParts = 128;
+
+/// A part of the operators' records as a VM has read them from the store: the newest of each key
+/// that has changed between two places, or of all keys when there is no first place.
+struct operators_records_message {
+  std::uint64_t era = 0;
+  std::optional<std::uint64_t> from;
+  std::uint64_t next = 0;
+  /// Hash of the records.
+  std::uint64_t checksum = 0;
+  std::uint32_t part = 0;
+  std::uint32_t parts = 1;
+  /// Bytes of the part, of records that are packed as in `packed_changes`.
+  std::uint32_t unpacked_bytes = 0;
+  std::string bytes;
+
+  bool operator==(const operators_records_message&) const = default;
+  MSGPACK_DEFINE(era, from, next, checksum, part, parts, unpacked_bytes, bytes)
+};
+
 /// Reports to the controller that the streams of a group have stalled, as observed by one VM.
 struct stall_message {
   std::string group;
@@ -384,7 +418,8 @@
 using peer_message =
     std::variant<hello_message, node_status_message, log_fetch_message, log_records_message,
                  credit_request_message, credit_grant_message, vm_load_message,
-                 directory_feed_message, stall_message, crash_evidence_message>;
+                 directory_feed_message, stall_message, crash_evidence_message,
+                 operators_request_message, operators_records_message>;
 
 /// Name of the message's type, for metrics.
 std::string_view TypeName(const peer_message& message);
--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "platform/record_decoder.h"
+#include "waxwingwing/core/hash.h"
 #include "waxwingwing/directory/registration_poll_interval.h"
 #include "waxwingwing/platform/pause.h"
 
@@ -32,25 +33,39 @@
 constexpr milliseconds kRewriteWait{250};
 /// Interval at which a VM checks the age of the last confirmation.
 constexpr milliseconds kCheckInterval{250};
+/// Interval at which a VM asks for records that it lacks.
+constexpr milliseconds kRequestInterval{250};
+/// Fraction of the time after which a configuration must be in force for which a VM waits for
+/// records to be passed on; VMs wait for up to twice as long, so that those which get none do not
+/// read the store at one moment.
+constexpr double kPassOnFraction = 0.125;
+/// Number of records up to which a VM reads what it lacks instead of the newest of each key.
+constexpr std::uint64_t kMaxRecordsInBetween = 2;
 
 milliseconds Fraction(milliseconds time, double fraction) {
   return std::chrono::duration_cast<milliseconds>(time * fraction);
 }
 
+duration PassOnLimit(const entry_settings& settings) {
+  constexpr std::uint64_t kSteps = 1024;
+  const double spread =
+      static_cast<double>(StableHash(settings.vm.str(), 3) % kSteps) / static_cast<double>(kSteps);
+  return Fraction(settings.configuration_limit, kPassOnFraction * (1 + spread));
+}
+
 }  // namespace
 
 configuration_controller::configuration_controller(entry_context& entry, store_client& store,
-                                                   std::function<bool()> is_controller,
-                                                   std::function<void()> on_change)
+                                                   hooks hooks)
     : entry_(entry),
       store_(store),
-      is_controller_(std::move(is_controller)),
-      on_change_(std::move(on_change)),
+      hooks_(std::move(hooks)),
       read_wait_(LongestConfigurationWait(entry.settings.configuration_limit,
                                           entry.settings.revoke_limit)),
       controller_wait_(Fraction(entry.settings.configuration_limit, kControllerWaitFraction)),
       read_age_(Fraction(std::min(entry.settings.configuration_limit, entry.settings.revoke_limit),
                          kReadAgeFraction)),
+      pass_on_limit_(PassOnLimit(entry.settings)),
       pause_(entry.context),
       health_(entry, "operators_records") {}
 
@@ -60,10 +75,10 @@
     bool read = false;
     if (!position_ || IsCompleteReadDue()) {
       read = co_await ReadAll();
-    } else if (is_controller_()) {
+    } else if (hooks_.is_controller()) {
       read = co_await ReadUpdates(controller_wait_);
-    } else if (is_behind_) {
-      read = co_await ReadUpdates(milliseconds(0));
+    } else if (behind_since_) {
+      read = co_await CatchUp();
     } else if (IsReadDue()) {
       read = co_await ReadUpdates(restored_at_ ? kRewriteWait : read_wait_);
     } else {
@@ -75,6 +90,59 @@
   }
 }
 
+awaitable<bool> configuration_controller::CatchUp() {
+  const bool may_be_passed_on = entry_.clock.Now() - *behind_since_ < pass_on_limit_;
+  if (may_be_passed_on && RequestUpdate()) {
+    co_await pause_.Wait(kRequestInterval);
+    co_return true;
+  }
+  const std::uint64_t known_end = announced_ ? announced_->offset : 0;
+  // The newest record of each key is less than all records in between.
+  if (known_end > position_->offset + kMaxRecordsInBetween) co_return co_await ReadAll();
+  co_return co_await ReadUpdates(milliseconds(0));
+}
+
+bool configuration_controller::RequestUpdate() {
+  const time_point now = entry_.clock.Now();
+  if (requested_at_ && now - *requested_at_ < kRequestInterval) return true;
+  const bool is_asked = hooks_.request(position_);
+  if (!is_asked) return false;
+  requested_at_ = now;
+  entry_.log.Write("operators_records_requested",
+                   {{"known", position_ ? position_->offset : 0}, {"has_records", !!position_}});
+  return true;
+}
+
+void configuration_controller::SetBehind() {
+  if (!behind_since_) behind_since_ = entry_.clock.Now();
+}
+
+void configuration_controller::Advance(store_position next) {
+  position_ = next;
+  behind_since_.reset();
+  if (announced_ && *announced_ > next) SetBehind();
+  hooks_.on_records();
+}
+
+void configuration_controller::OnUpdate(const operators_update& update) {
+  // After a restore each VM finds out itself what the store has lost.
+  if (restored_at_ || update.next.era != store_.era()) return;
+  const bool leads_on =
+      position_ ? update.next > *position_ && update.from <= position_ : !update.from.has_value();
+  if (!leads_on) return;
+  if (!era_) era_ = update.next.era;
+  LogRecords("vm", update.records, update.from ? update.from->offset : 0, update.next,
+             requested_at_);
+  Apply(update.records, !update.from);
+  if (update.from) {
+    snapshot_.Add(update.records, update.next);
+  } else {
+    snapshot_.Replace(update.records, update.next);
+  }
+  Advance(update.next);
+  pause_.Wake();
+}
+
 awaitable<bool> configuration_controller::ReadAll() {
   const time_point called_at = entry_.clock.Now();
   const auto page = co_await store_.ReadNewest(store_stream::kOperators);
@@ -86,10 +154,14 @@
   const time_point sent_at = called_at - page->asked_before;
   RecordEra(page->era, entry_.clock.Now());
   if (IsCompleteReadDue()) restored_at_.reset();
+  const store_position next{page->era, page->next};
+  // More may have been passed on meanwhile.
+  if (position_ && position_->era == next.era && *position_ > next) co_return true;
   stored_version_ = 0;
-  LogRecords(*page, 0, sent_at);
-  Apply(*page, !restored_at_);
-  position_ = store_position{page->era, page->next};
+  LogRecords("store", page->records, 0, next, sent_at);
+  Apply(page->records, !restored_at_);
+  snapshot_.Replace(page->records, next);
+  Advance(next);
   if (MayConfirm()) Confirm(sent_at, sent_at);
   co_return true;
 }
@@ -124,7 +196,11 @@
 }
 
 void configuration_controller::OnControllerView(const operators_view& view) {
-  if (!position_ || !view.confirmed_at || view.next < *position_) return;
+  if (!position_) {
+    RequestUpdate();
+    return;
+  }
+  if (!view.confirmed_at || view.next < *position_) return;
   if (view.next > *position_) {
     if (!announced_ || *announced_ < view.next) {
       announced_ = view.next;
@@ -132,7 +208,7 @@
           "operators_records_announced",
           {{"next", view.next.offset}, {"era", view.next.era.get()}, {"known", position_->offset}});
     }
-    is_behind_ = true;
+    SetBehind();
     return pause_.Wake();
   }
   if (MayConfirm()) Confirm(*view.confirmed_at, view.earliest_confirmation.value_or(time_point()));
@@ -155,28 +231,39 @@
 
 awaitable<bool> configuration_controller::ReadUpdates(milliseconds wait) {
   const time_point called_at = entry_.clock.Now();
-  is_behind_ = false;
-  const auto page = co_await store_.ReadFrom(store_stream::kOperators, position_->offset, wait);
+  const store_position from = *position_;
+  const auto page = co_await store_.ReadFrom(store_stream::kOperators, from.offset, wait);
   if (!page) {
     health_.Failed(page.reason());
     co_return false;
   }
   health_.Succeeded();
-  if (page->trimmed || page->era != position_->era || page->end < position_->offset) {
+  if (page->trimmed || page->era != from.era || page->end < from.offset) {
     entry_.log.Write("history_trimmed", {{"stream", "operators"},
-                                         {"offset", position_->offset},
-                                         {"era", position_->era.get()},
+                                         {"offset", from.offset},
+                                         {"era", from.era.get()},
                                          {"store_era", page->era.get()}});
     position_.reset();
+    behind_since_.reset();
+    snapshot_.Clear();
     co_return true;
   }
   const time_point sent_at = called_at - page->asked_before;
-  if (!page->records.empty()) LogRecords(*page, position_->offset, sent_at);
-  Apply(*page, false);
-  position_->offset = page->next;
+  const store_position next{page->era, page->next};
+  // More may have been passed on meanwhile.
+  if (next < *position_) co_return true;
+  if (!page->records.empty()) {
+    LogRecords("store", page->records, from.offset, next, sent_at);
+    Apply(page->records, false);
+    snapshot_.Add(page->records, next);
+    Advance(next);
+  }
+  // Reads may be older than what the controller has told; it tells again.
+  if (page->records.empty()) behind_since_.reset();
   // A page holds only a part of many large records; older ones confirm nothing.
   if (page->next < page->end) {
-    is_behind_ = true;
+    announced_ = std::max(announced_.value_or(next), store_position{page->era, page->end});
+    SetBehind();
     co_return !page->records.empty();
   }
   // The store returns an empty page only after the full wait, so there was no new record until
@@ -189,9 +276,9 @@
   co_return true;
 }
 
-void configuration_controller::Apply(const store_page& page, bool is_complete) {
+void configuration_controller::Apply(const std::vector<store_record>& records, bool is_complete) {
   if (is_complete) evacuated_.clear();
-  for (const store_record& record : page.records) {
+  for (const store_record& record : records) {
     const operator_key key = DecodeOperatorKey(record.key);
     if (key.is_configuration && record.value) ApplyConfiguration(*record.value);
     if (!key.evacuated) continue;
@@ -206,20 +293,23 @@
   std::string names;
   for (const failure_domain_id& domain : evacuated_) names += domain.str() + " ";
   entry_.log.Write("evacuation_changed", {{"domains", names}});
-  on_change_();
+  hooks_.on_change();
 }
 
-void configuration_controller::LogRecords(const store_page& page, std::uint64_t from,
-                                          time_point asked_at) const {
+void configuration_controller::LogRecords(std::string_view source,
+                                          const std::vector<store_record>& records,
+                                          std::uint64_t from, store_position next,
+                                          std::optional<time_point> asked_at) const {
   std::size_t bytes = 0;
-  for (const store_record& record : page.records) bytes += record.value.value_or("").size();
-  entry_.log.Write("operators_records_received", {{"from", from},
-                                                  {"next", page.next},
-                                                  {"end", page.end},
-                                                  {"era", page.era.get()},
-                                                  {"records", page.records.size()},
+  for (const store_record& record : records) bytes += record.value ? record.value->size() : 0;
+  const duration asked_ago = asked_at ? entry_.clock.Now() - *asked_at : duration::zero();
+  entry_.log.Write("operators_records_received", {{"source", source},
+                                                  {"from", from},
+                                                  {"next", next.offset},
+                                                  {"era", next.era.get()},
+                                                  {"records", records.size()},
                                                   {"bytes", bytes},
-                                                  {"asked_ms_ago", entry_.clock.Now() - asked_at}});
+                                                  {"asked_ms_ago", asked_ago}});
 }
 
 void configuration_controller::ApplyConfiguration(const std::string& text) {
@@ -243,7 +333,7 @@
   entry_.metrics.Gauge("waxwingwing_configuration_version")
       .Set(static_cast<std::int64_t>((*decoded)->version));
   entry_.state.configuration = *decoded;
-  on_change_();
+  hooks_.on_change();
 }
 
 }  // namespace waxwingwing
--- a/src/entry/configuration_controller.h
+++ b/src/entry/configuration_controller.h
@@ -1,11 +1,15 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
+#include "entry/operators_snapshot.h"
 #include "entry/operators_view.h"
 #include "platform/store_client.h"
 #include "waxwingwing/platform/wakeable_pause.h"
@@ -15,15 +19,25 @@
 /// Follows the operators' records in the store and applies them to the entry state: the traffic
 /// configuration and the evacuated failure domains. Use from one thread.
 ///
-/// The controller reads them at short intervals and tells the other VMs that there is no newer
-/// record, or that there is one, which they then read themselves. A VM that has not heard of that
-/// for long reads as if it were alone.
+/// The controller reads them at short intervals and tells the other VMs whether there is a newer
+/// record. Records are passed on from VM to VM: a configuration can be large, and if all VMs read
+/// it from the store at once, it arrives nowhere in time. A VM that gets none, or has not heard of
+/// the controller for long, reads as if it were alone.
 class configuration_controller {
  public:
-  /// `is_controller`: whether this VM reads for the others; `on_change` is called after each change
-  /// of the configuration or the evacuated domains.
-  configuration_controller(entry_context& entry, store_client& store,
-                           std::function<bool()> is_controller, std::function<void()> on_change);
+  struct hooks {
+    /// Whether this VM reads for the others.
+    std::function<bool()> is_controller;
+    /// Called after each change of the configuration or the evacuated domains.
+    std::function<void()> on_change;
+    /// Called after more records are known, so that they are passed on.
+    std::function<void()> on_records;
+    /// Asks the VM that this one follows for the records that follow a place, or for all; returns
+    /// false when there is none to ask.
+    std::function<bool(const std::optional<store_position>&)> request;
+  };
+
+  configuration_controller(entry_context& entry, store_client& store, hooks hooks);
 
   /// Reads until shutdown; during shutdown it continues while a configuration is loaded.
   awaitable<void> Run();
@@ -31,8 +45,20 @@
   operators_view View() const;
   /// Applies what the controller knows of the records.
   void OnControllerView(const operators_view& view);
+  /// Applies records that the VM which this one follows has passed on.
+  void OnUpdate(const operators_update& update);
+  /// The records that another VM lacks, to be passed on to it.
+  const operators_snapshot& snapshot() const { return snapshot_; }
 
  private:
+  /// Gets records that the controller knows and this VM does not: from the VM that it follows, or
+  /// from the store when that takes too long.
+  awaitable<bool> CatchUp();
+  /// Asks the VM that this one follows, unless it was asked just now.
+  bool RequestUpdate();
+  void SetBehind();
+  /// Records that this VM knows the records up to `next`, and passes them on.
+  void Advance(store_position next);
   /// Reads the newest record of each key. Returns false when the read must be retried after a
   /// pause.
   awaitable<bool> ReadAll();
@@ -52,24 +78,29 @@
   /// Whether the last confirmation is too old to wait for one by the controller.
   bool IsReadDue() const;
   /// Logs records that have arrived, with when they were asked for.
-  void LogRecords(const store_page& page, std::uint64_t from, time_point asked_at) const;
+  void LogRecords(std::string_view source, const std::vector<store_record>& records,
+                  std::uint64_t from, store_position next,
+                  std::optional<time_point> asked_at) const;
   /// Applies records; `is_complete` when domains without a record are not evacuated.
-  void Apply(const store_page& page, bool is_complete);
+  void Apply(const std::vector<store_record>& records, bool is_complete);
   void ApplyConfiguration(const std::string& text);
 
   entry_context& entry_;
   store_client& store_;
-  const std::function<bool()> is_controller_;
-  const std::function<void()> on_change_;
+  const hooks hooks_;
   /// Longest wait of a read on a VM that reads for itself, and on the controller.
   const milliseconds read_wait_;
   const milliseconds controller_wait_;
   /// Age of a confirmation at which a VM reads for itself.
   const duration read_age_;
+  /// How long a VM waits for records to be passed on before it reads them from the store.
+  const duration pass_on_limit_;
   wakeable_pause pause_;
-  /// Whether the controller knows of records that this VM has not read.
-  bool is_behind_ = false;
-  /// The place after the newest record of which the controller has told, for log lines.
+  /// Since when there are records that this VM does not know, and has got none.
+  std::optional<time_point> behind_since_;
+  std::optional<time_point> requested_at_;
+  operators_snapshot snapshot_;
+  /// The place after the newest record that is known to be in the store.
   std::optional<store_position> announced_;
   dependency_health health_;
   std::optional<store_position> position_;
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -166,6 +166,7 @@
   network_.SetPeers({});
   network_.SetPeers({{parent.vm, parent.address}});
   parent_ = parent_link{parent, now, {}, {}, true};
+  incoming_operators_.Clear();
   entry_.log.Write("parent_selected", {{"parent", parent.vm.str()},
                                        {"address", parent.address},
                                        {"controller", election_.record().holder},
@@ -222,6 +223,10 @@
     }
   } else if (const auto* evidence = std::get_if<crash_evidence_message>(&message)) {
     hooks_.on_evidence(FromMessage(*evidence, entry_.clock.Now()));
+  } else if (const auto* request = std::get_if<operators_request_message>(&message)) {
+    OnOperatorsRequest(vm, *request);
+  } else if (const auto* records = std::get_if<operators_records_message>(&message)) {
+    OnOperatorsRecords(vm, *records);
   }
 }
 
@@ -290,6 +295,60 @@
   return view;
 }
 
+const std::vector<operators_records_message>& controller_link::PackOperators(
+    const std::optional<store_position>& known) {
+  static const std::vector<operators_records_message> kNone;
+  const auto update = hooks_.operators_since(known);
+  if (!update) return kNone;
+  const bool is_packed = packed_operators_ && packed_operators_->known == update->from &&
+                         packed_operators_->next == update->next;
+  if (is_packed) return packed_operators_->messages;
+  auto messages = ToMessages(*update);
+  if (!messages) {
+    entry_.log.Write("operators_records_not_passed_on", {{"reason", messages.reason()}});
+    return kNone;
+  }
+  packed_operators_ = {update->from, update->next, *std::move(messages)};
+  return packed_operators_->messages;
+}
+
+void controller_link::PassOnOperators() {
+  const auto known = passed_on_;
+  passed_on_ = hooks_.operators().next;
+  if (reports_.empty()) return;
+  std::vector<vm_id> followers;
+  for (const auto& [vm, sequence] : reports_.Followers()) followers.push_back(vm);
+  for (const operators_records_message& part : PackOperators(known)) {
+    network_.Broadcast(followers, part);
+  }
+}
+
+bool controller_link::RequestOperators(const std::optional<store_position>& known) {
+  if (!parent_) return false;
+  operators_request_message request;
+  if (known) request = {known->era.get(), known->offset};
+  return network_.Send(parent_->node.vm, request);
+}
+
+void controller_link::OnOperatorsRequest(const vm_id& vm,
+                                         const operators_request_message& request) {
+  std::optional<store_position> known;
+  if (request.from) known = store_position{store_era(request.era), *request.from};
+  for (const operators_records_message& part : PackOperators(known)) network_.Send(vm, part);
+}
+
+void controller_link::OnOperatorsRecords(const vm_id& vm,
+                                         const operators_records_message& records) {
+  if (election_.HoldsControllerRole() || !parent_ || parent_->node.vm != vm) return;
+  const auto update = incoming_operators_.Add(records);
+  if (!update) return;
+  if (!*update) {
+    entry_.log.Write("operators_records_unreadable", {{"reason", update->reason()}});
+    return;
+  }
+  hooks_.on_operators_update(**update);
+}
+
 bool controller_link::ReportStall(const stall_message& stall) {
   if (election_.HoldsControllerRole()) return true;
   return IsFeedCurrent() && network_.Send(parent_->node.vm, stall);
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -12,6 +12,7 @@
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
 #include "entry/feed_sequence.h"
+#include "entry/operators_transfer.h"
 #include "entry/operators_view.h"
 #include "entry/registration_read.h"
 #include "waxwingwing/core/random_source.h"
@@ -51,6 +52,12 @@
   std::function<operators_view()> operators;
   /// Called with what the controller knows of the operators' records.
   std::function<void(const operators_view&)> on_operators;
+  /// Returns the operators' records that a VM lacks which knows them up to a place, or knows none;
+  /// nothing when this VM does not know more.
+  std::function<std::optional<operators_update>(const std::optional<store_position>&)>
+      operators_since;
+  /// Called with operators' records that the VM which this one follows has passed on.
+  std::function<void(const operators_update&)> on_operators_update;
   /// Return the counts of usage that changed since the last call, or all of them for a new parent.
   /// Not set when usage is not reported.
   std::function<std::vector<usage_entry>(bool for_new_parent)> usage_changes;
@@ -86,6 +93,11 @@
   bool IsFeedCurrent() const;
   /// On the controller, sends the changes of a read of the registrations to the other VMs.
   void Publish(const registration_read& read);
+  /// Passes on the operators' records of which this VM has learned since the last call.
+  void PassOnOperators();
+  /// Asks the VM that this one follows for the operators' records; returns false when there is no
+  /// connection.
+  bool RequestOperators(const std::optional<store_position>& known);
   /// Reports a stalled group to the controller; returns false when there is no link.
   bool ReportStall(const stall_message& stall);
 
@@ -105,6 +117,12 @@
   void OnMessage(const vm_id& vm, const peer_message& message);
   void OnLoad(const vm_id& vm, const vm_load_message& load);
   void OnFeed(const vm_id& vm, const directory_feed_message& feed);
+  void OnOperatorsRequest(const vm_id& vm, const operators_request_message& request);
+  void OnOperatorsRecords(const vm_id& vm, const operators_records_message& records);
+  /// Packs what VMs lack that know the operators' records up to `known`; empty when that is
+  /// nothing.
+  const std::vector<operators_records_message>& PackOperators(
+      const std::optional<store_position>& known);
   /// Updates when the parent is known to have sent its last feed at the earliest.
   void RecordReceipts(const std::vector<load_receipt_message>& receipts);
   operators_view OperatorsOf(const directory_feed_message& feed, time_point now) const;
@@ -145,6 +163,16 @@
   std::vector<relay_node> relays_;
   /// What this VM's feeds as the controller have said of the registrations.
   feed_sequence feeds_;
+  /// Place up to which the operators' records were passed on.
+  std::optional<store_position> passed_on_;
+  /// The operators' records as they were last packed for VMs that knew them up to a place.
+  struct packed_operators {
+    std::optional<store_position> known;
+    store_position next;
+    std::vector<operators_records_message> messages;
+  };
+  std::optional<packed_operators> packed_operators_;
+  operators_assembly incoming_operators_;
   std::optional<time_point> published_at_;
   /// When this VM sent its last successful read of the registrations.
   time_point read_sent_at_{};
--- a/src/entry/directory_controller.cc
+++ b/src/entry/directory_controller.cc
@@ -133,10 +133,10 @@
   return true;
 }
 
-std::vector<registration_message> directory_controller::ApplyList(const store_page& page,
+std::vector<keyed_record_message> directory_controller::ApplyList(const store_page& page,
                                                                   time_point now,
                                                                   duration removal_delay) {
-  std::vector<registration_message> changes;
+  std::vector<keyed_record_message> changes;
   std::set<backend_server_id> listed;
   for (const store_record& record : page.records) {
     if (!record.value) continue;
@@ -244,7 +244,7 @@
   const time_point now = entry_.clock.Now();
   const duration delay = RemovalDelay(now);
   health_.Succeeded();
-  for (const registration_message& change : *changes) {
+  for (const keyed_record_message& change : *changes) {
     ApplyOrRemove({change.key, change.value}, now, delay);
   }
   position_ = next;
--- a/src/entry/directory_controller.h
+++ b/src/entry/directory_controller.h
@@ -43,7 +43,7 @@
   /// Reads the newest registration of every server and removes servers that are not listed.
   awaitable<bool> ReadAll();
   /// Applies the newest registration of every server and returns what has changed.
-  std::vector<registration_message> ApplyList(const store_page& page, time_point now,
+  std::vector<keyed_record_message> ApplyList(const store_page& page, time_point now,
                                               duration removal_delay);
   /// Reads the records that follow `position_`.
   awaitable<bool> ReadUpdates();
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -80,9 +80,7 @@
         election_(entry_, store_, member_name_, random_source::FromDevice()),
         membership_(entry_, store_, member_name_, [this] { UpdateWorkShare(); }),
         link_(entry_, election_, LinkHooks()),
-        configuration_(
-            entry_, store_, [this] { return election_.HoldsControllerRole(); },
-            [this] { UpdateDispatch(); }),
+        configuration_(entry_, store_, ConfigurationHooks()),
         directory_(entry_, store_, DirectoryHooks()),
         formation_(entry_, election_, orders_),
         stall_notice_channel_(
@@ -182,6 +180,12 @@
     hooks.on_operators = [this](const operators_view& view) {
       configuration_.OnControllerView(view);
     };
+    hooks.operators_since = [this](const std::optional<store_position>& known) {
+      return configuration_.snapshot().Since(known);
+    };
+    hooks.on_operators_update = [this](const operators_update& update) {
+      configuration_.OnUpdate(update);
+    };
     if (settings_.duties && settings_.duties->reports_usage) {
       hooks.usage_changes = [this](bool for_new_parent) {
         return usage_->TakeChanges(for_new_parent);
@@ -196,6 +200,17 @@
     return hooks;
   }
 
+  configuration_controller::hooks ConfigurationHooks() {
+    configuration_controller::hooks hooks;
+    hooks.is_controller = [this] { return election_.HoldsControllerRole(); };
+    hooks.on_change = [this] { UpdateDispatch(); };
+    hooks.on_records = [this] { link_.PassOnOperators(); };
+    hooks.request = [this](const std::optional<store_position>& known) {
+      return link_.RequestOperators(known);
+    };
+    return hooks;
+  }
+
   directory_controller::hooks DirectoryHooks() {
     directory_controller::hooks hooks;
     hooks.sends_orders = [this] { return election_.HoldsControllerRole(); };
--- a/src/entry/registration_read.h
+++ b/src/entry/registration_read.h
@@ -27,7 +27,7 @@
   store_position from;
   /// Place up to which the registrations are known.
   store_position next;
-  std::vector<registration_message> changes;
+  std::vector<keyed_record_message> changes;
   /// Time as of which the registrations up to `next` are all that the store had: when the read was
   /// sent, or, if it returned only a part of the records, when the last complete one was.
   time_point sent_at{};
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -157,12 +157,21 @@
   return any ? "crash evidence has no part or server name" : "";
 }
 
+std::string InvalidReason(const operators_request_message& /*message*/) { return {}; }
+
+std::string InvalidReason(const operators_records_message& message) {
+  if (message.from && *message.from > message.next) return "records that lead backwards";
+  const bool is_valid_part = message.part < message.parts && message.parts <= kMaxRecordParts;
+  return is_valid_part ? "" : "records have a part that is not valid";
+}
+
 }  // namespace
 
 std::string_view TypeName(const peer_message& message) {
   static constexpr std::string_view kNames[] = {
-      "hello",        "node_status", "log_fetch",      "log_records", "credit_request",
-      "credit_grant", "vm_load",     "directory_feed", "stall",       "crash_evidence",
+      "hello",          "node_status",    "log_fetch",         "log_records",
+      "credit_request", "credit_grant",   "vm_load",           "directory_feed",
+      "stall",          "crash_evidence", "operators_request", "operators_records",
   };
   static_assert(std::size(kNames) == std::variant_size_v<peer_message>);
   return kNames[message.index()];
--- a/src/peer/packed_changes.cc
+++ b/src/peer/packed_changes.cc
@@ -7,10 +7,7 @@
 namespace waxwingwing {
 namespace {
 
-using unpacked = std::vector<registration_message>;
-
-/// Limits the memory that the receiver needs for a message: registrations of 4,000 servers.
-constexpr std::uint32_t kMaxUnpackedBytes = 4U << 20U;
+using unpacked = std::vector<keyed_record_message>;
 
 }  // namespace
 
--- a/stand_ins/platform_store.cc
+++ b/stand_ins/platform_store.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kOffsetBytes = 8;
 constexpr const char* kServers = "keyed.servers";
 constexpr const char* kEraHeader = "Store-Era";
+/// Bytes of an answer that are sent at once when answers share a rate.
+constexpr std::size_t kSliceBytes = std::size_t{16} * 1024;
 /// Three heartbeat intervals of the model runner stand-in.
 constexpr std::int64_t kRegistrationLifetimeUs = 900'000;
 
@@ -74,6 +76,10 @@
     page_size_ = value.get<std::size_t>();
     return true;
   }
+  if (name == "bytes_per_s") {
+    bytes_per_s_ = value.get<std::uint64_t>();
+    return true;
+  }
   if (name == "lose_answers") {
     lose_answers_ = value.get<std::uint64_t>();
     return true;
@@ -190,8 +196,27 @@
     const std::string& record = source.records[offset - source.first];
     body += BigEndian(record.size(), kLengthBytes) + record;
   }
-  header_list headers;
-  co_await exchange.AnswerText(200, std::move(body), std::move(headers));
+  co_await AnswerRecords(exchange, std::move(body));
+}
+
+awaitable<void> platform_store::AnswerRecords(http_exchange& exchange, std::string body) {
+  if (bytes_per_s_ == 0) {
+    header_list headers;
+    co_await exchange.AnswerText(200, std::move(body), std::move(headers));
+    co_return;
+  }
+  const std::string bytes = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+                            "\r\n" + kEraHeader + ": " + std::to_string(era_) + "\r\n\r\n" + body;
+  for (std::size_t place = 0; place < bytes.size(); place += kSliceBytes) {
+    std::string slice = bytes.substr(place, kSliceBytes);
+    const std::chrono::duration<double> takes(static_cast<double>(slice.size()) /
+                                              static_cast<double>(bytes_per_s_));
+    const time_point now = std::chrono::steady_clock::now();
+    sent_until_ = std::max(sent_until_, now) + std::chrono::duration_cast<duration>(takes);
+    co_await Sleep(sent_until_ - now);
+    const bool is_sent = co_await exchange.WriteBytes(std::move(slice));
+    if (!is_sent) co_return;
+  }
 }
 
 awaitable<void> platform_store::Newest(http_exchange& exchange) {
--- a/stand_ins/platform_store.h
+++ b/stand_ins/platform_store.h
@@ -20,8 +20,9 @@
 /// `drop_history` (bool: discards all but the newest record of each key), `forget_registrations`
 /// (bool: does so with each registration as soon as it is written), `miss_wakes` (bool: a
 /// waiting read is answered only at the end of its wait), `page_size` (number of newest records in
-/// one answer), `save_copy` (bool: keeps a copy of all records and members) and `restore` (bool:
-/// goes back to that copy and raises the era that each answer states).
+/// one answer), `bytes_per_s` (count: what all answers with records share; 0: no limit),
+/// `save_copy` (bool: keeps a copy of all records and members) and `restore` (bool: goes back to
+/// that copy and raises the era that each answer states).
 class platform_store final : public stand_in {
  public:
   explicit platform_store(asio::io_context& context);
@@ -55,6 +56,8 @@
   awaitable<void> Owners(http_exchange& exchange);
   awaitable<void> Leave(http_exchange& exchange);
   void AddRecord(const std::string& name, const std::string& record);
+  /// Answers with records, at the rate that all such answers share.
+  awaitable<void> AnswerRecords(http_exchange& exchange, std::string body);
   /// Discards all but the newest record of each key.
   static void DropHistory(topic& kept);
   void Restore();
@@ -72,6 +75,9 @@
   std::uint64_t lose_answers_ = 0;
   bool forgets_registrations_ = false;
   bool miss_wakes_ = false;
+  std::uint64_t bytes_per_s_ = 0;
+  /// When the bytes that answers have to send so far have been sent.
+  time_point sent_until_{};
   /// Number of records in one answer about the newest records.
   std::size_t page_size_ = 500;
   contents copy_;
--- a/tests/unit/configuration_controller_test.cc
+++ b/tests/unit/configuration_controller_test.cc
@@ -4,10 +4,13 @@
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
+#include "tests/unit/big_endian.h"
 #include "tests/unit/encode_base64.h"
 #include "tests/unit/run_awaitable.h"
 #include "tests/unit/scripted_http_server.h"
@@ -15,14 +18,6 @@
 namespace waxwingwing {
 namespace {
 
-std::string BigEndian(std::uint64_t number, std::size_t bytes) {
-  std::string text;
-  for (std::size_t i = bytes; i > 0; --i) {
-    text += static_cast<char>(number >> (8 * (i - 1)) & 0xffU);
-  }
-  return text;
-}
-
 std::string ConfigurationText(int version) {
   return R"({"version":)" + std::to_string(version) + R"(,"routes":[],"services":[]})";
 }
@@ -82,7 +77,17 @@
   entry_context entry{context, clock, settings, state, log, metrics};
   http_client http{&metrics};
   store_client store{http, server.address(), 12};
-  configuration_controller configuration{entry, store, [] { return false; }, [] {}};
+  /// Whether there is a VM that can be asked for records, and the places stated to it.
+  bool has_parent = false;
+  std::vector<std::optional<store_position>> requests;
+  int passed_on = 0;
+  configuration_controller configuration{entry,
+                                         store,
+                                         {[] { return false; }, [] {}, [this] { ++passed_on; },
+                                          [this](const std::optional<store_position>& known) {
+                                            if (has_parent) requests.push_back(known);
+                                            return has_parent;
+                                          }}};
 };
 
 // Guards against keys that are accepted although they were taken away: a VM that the store had
@@ -102,7 +107,8 @@
   http_client http(&metrics);
   store_client store(http, server.address(), 12);
   configuration_controller configuration(
-      entry, store, [] { return false; }, [] {});
+      entry, store,
+      {[] { return false; }, [] {}, [] {}, [](const auto& /*known*/) { return false; }});
   boost::asio::co_spawn(context, configuration.Run(), boost::asio::detached);
   const auto has_version = [&](std::uint64_t version) {
     return [&state, version] {
@@ -214,5 +220,106 @@
   CHECK(*fixture.state.keys_confirmed_at > confirmed_at);
 }
 
+/// Records that are passed on, in the era in which the fixture's store begins.
+operators_update UpdateOf(std::optional<std::uint64_t> from, std::uint64_t next, int version) {
+  operators_update update;
+  if (from) update.from = store_position{store_era(1), *from};
+  update.next = {store_era(1), next};
+  update.records = {{"config", ConfigurationText(version)}};
+  return update;
+}
+
+operators_view ViewOf(const configuration_fixture& fixture, std::uint64_t next) {
+  return {{store_era(1), next}, fixture.clock.Now(), fixture.clock.Now()};
+}
+
+// Guards against versions that are in force too late: all VMs read a large record at the same
+// moment, and the store's link was too narrow for all of them.
+TEST_CASE("records that are passed on are not read from the store", "[entry]") {
+  configuration_fixture fixture;
+  fixture.has_parent = true;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  fixture.configuration.OnControllerView(ViewOf(fixture, 6));
+  REQUIRE(RunUntil(fixture.context, [&] { return !fixture.requests.empty(); }));
+  CHECK(fixture.requests.back() == store_position{store_era(1), 5});
+  fixture.configuration.OnUpdate(UpdateOf(5, 6, 6));
+  CHECK(fixture.state.configuration->version == 6);
+  CHECK(fixture.passed_on == 2);
+  CHECK(fixture.configuration.snapshot().Since(store_position{store_era(1), 5}));
+  fixture.clock.Advance(milliseconds(300));
+  fixture.configuration.OnControllerView(ViewOf(fixture, 6));
+  CHECK(fixture.state.keys_confirmed_at == fixture.clock.Now());
+  fixture.clock.Advance(milliseconds(600));
+  fixture.RunFor(milliseconds(300));
+  CHECK(fixture.server.seen().size() == 1);
+}
+
+TEST_CASE("records that are not passed on in time are read from the store", "[entry]") {
+  configuration_fixture fixture;
+  fixture.has_parent = true;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  fixture.configuration.OnControllerView(ViewOf(fixture, 6));
+  REQUIRE(RunUntil(fixture.context, [&] { return !fixture.requests.empty(); }));
+  CHECK(fixture.server.seen().size() == 1);
+  fixture.server.Add(InEra(1, Page(6, 6)));
+  fixture.clock.Advance(milliseconds(600));
+  CHECK(fixture.RunUntilVersion(6));
+}
+
+// Guards against records that are skipped, taken twice or from before a restore of the store.
+TEST_CASE("only records that lead on in the known era are taken from another VM", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  fixture.configuration.OnUpdate(UpdateOf(6, 8, 8));
+  CHECK(fixture.state.configuration->version == 5);
+  fixture.configuration.OnUpdate(UpdateOf(3, 5, 9));
+  CHECK(fixture.state.configuration->version == 5);
+  auto of_other_era = UpdateOf(std::nullopt, 9, 9);
+  of_other_era.next.era = store_era(2);
+  fixture.configuration.OnUpdate(of_other_era);
+  CHECK(fixture.state.configuration->version == 5);
+  fixture.configuration.OnUpdate(UpdateOf(std::nullopt, 9, 9));
+  CHECK(fixture.state.configuration->version == 9);
+  CHECK(fixture.configuration.View().next.offset == 9);
+}
+
+// Guards against an older place after newer records were passed on during a read.
+TEST_CASE("a read that ends after newer records were passed on changes nothing", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  const std::string page = Page(6, 6);
+  scripted_http_server::step slow;
+  slow.slow_parts = {"HTTP/1.1 200 OK\r\nStore-Era: 1\r\n",
+                     "Content-Length: " + std::to_string(page.size()) + "\r\n\r\n" + page};
+  slow.part_pause = milliseconds(100);
+  fixture.server.Add(slow);
+  fixture.clock.Advance(std::chrono::seconds(3));
+  REQUIRE(fixture.RunUntilSeen(2));
+  fixture.configuration.OnUpdate(UpdateOf(5, 7, 7));
+  fixture.RunFor(milliseconds(300));
+  CHECK(fixture.state.configuration->version == 7);
+  CHECK(fixture.configuration.View().next.offset == 7);
+}
+
+// Guards against a VM that reads without a pause while reads of the store are older than feeds.
+TEST_CASE("a VM does not read again and again while its reads lack the newest record", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  for (int i = 0; i < 20; ++i) fixture.server.Add(InEra(1, BigEndian(5, 8) + BigEndian(0, 8)));
+  fixture.configuration.OnControllerView(ViewOf(fixture, 6));
+  fixture.RunFor(milliseconds(200));
+  CHECK(fixture.server.seen().size() == 2);
+}
+
 }  // namespace
 }  // namespace waxwingwing
--- a/tests/unit/directory_controller_test.cc
+++ b/tests/unit/directory_controller_test.cc
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include "tests/unit/big_endian.h"
 #include "tests/unit/encode_base64.h"
 #include "tests/unit/run_awaitable.h"
 #include "tests/unit/scripted_http_server.h"
@@ -16,14 +17,6 @@
 namespace waxwingwing {
 namespace {
 
-std::string BigEndian(std::uint64_t number, std::size_t bytes) {
-  std::string text;
-  for (std::size_t i = bytes; i > 0; --i) {
-    text += static_cast<char>(number >> (8 * (i - 1)) & 0xffU);
-  }
-  return text;
-}
-
 std::string Registration(const std::string& state = "ready") {
   return R"({"service":"desk","addr":"10.0.0.1:80","zone":"ifo","version":"v1","slots":4,"state":")" +
          state + R"(","cold_left_ms":0,"born":1,"seq":1})";
--- a/tests/unit/frame_codec_test.cc
+++ b/tests/unit/frame_codec_test.cc
@@ -88,11 +88,13 @@
                                  6},
           stall_message{"g", "s1"},
           crash_evidence_message{
-              {{"part", {{"s1", milliseconds(30)}}, milliseconds(20), std::nullopt}}}};
+              {{"part", {{"s1", milliseconds(30)}}, milliseconds(20), std::nullopt}}},
+          operators_request_message{3, 12},
+          operators_records_message{3, std::nullopt, 14, 99, 1, 2, 700, "packed"}};
 }
 
 TEST_CASE("registration changes survive packing, and broken ones are rejected", "[peer]") {
-  const std::vector<registration_message> changes = {
+  const std::vector<keyed_record_message> changes = {
       {"s1", std::string(500, 'x')}, {"s2", std::nullopt}, {"s3", "{}"}};
   const packed_changes packed = PackChanges(changes);
   CHECK(packed.bytes.size() < 100);
