--- a/include/waxwingwing/dispatch/dispatch_map.h
+++ b/include/waxwingwing/dispatch/dispatch_map.h
@@ -52,6 +52,8 @@
   /// models.
   const std::vector<dispatch_candidate>& Candidates(const service_id& service,
                                                     const std::string& model) const;
+  /// Returns the candidates of all services and models.
+  std::vector<dispatch_candidate> AllCandidates() const;
   /// Returns the number of candidates of each service and model, as text for log lines.
   std::string Describe() const;
 
--- a/include/waxwingwing/dispatch/server_load.h
+++ b/include/waxwingwing/dispatch/server_load.h
@@ -38,6 +38,8 @@
   void RequestEnded(bool begun, bool failed, time_point now);
   /// Excludes the server from selection until `until`, or until an event arrives from it.
   void Suspend(time_point until);
+  /// Forgets failures and late answers, which have shown nothing about the server.
+  void ForgetFailures();
   /// Sets the number of requests of all other VMs at the server, as reported at `now`.
   void SetOtherVmRequests(std::uint32_t running, time_point now);
   /// Number of requests of all other VMs; 0 when none were reported recently.
--- a/include/waxwingwing/dispatch/server_selection.h
+++ b/include/waxwingwing/dispatch/server_selection.h
@@ -119,6 +119,8 @@
   /// `requests` have none. `vms`: number of all VMs, including this one.
   void SetOtherRequests(const server_requests& requests, std::size_t vms, time_point now);
 
+  /// Forgets failures and late answers of all servers.
+  void ForgetFailures();
   server_load& LoadOf(const backend_server_id& server) { return loads_[server]; }
   /// Removes the state of servers that have no request and for which `is_known` returns false.
   void Prune(const std::function<bool(const backend_server_id&)>& is_known, time_point now);
--- a/include/waxwingwing/forward/call_codec.h
+++ b/include/waxwingwing/forward/call_codec.h
@@ -78,6 +78,10 @@
   /// Rewrites a caller's headers for a backend server. The connection-specific headers must have
   /// been removed before.
   virtual void WriteRequestHeaders(http_fields& fields, const call_target& target) const = 0;
+  /// Sets after which event a request goes on, in the headers that callers use; leaves them when
+  /// there is none.
+  virtual void WriteResumption(http_fields& fields,
+                               std::optional<std::uint64_t> last_event) const = 0;
   /// Reads the metadata of a backend server's response.
   virtual response_metadata ReadResponseMetadata(unsigned status,
                                                  const http_fields& fields) const = 0;
--- a/include/waxwingwing/forward/forwarder.h
+++ b/include/waxwingwing/forward/forwarder.h
@@ -8,6 +8,7 @@
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/result.h"
 #include "waxwingwing/directory/traffic_configuration.h"
+#include "waxwingwing/dispatch/carrier_table.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_selection.h"
 #include "waxwingwing/forward/call_codec.h"
@@ -38,6 +39,8 @@
   virtual void OnDirectoryMismatch() = 0;
   /// Reports that a request of an organisation has begun to run: a server has begun its answer.
   virtual void OnRequestBegun(const organisation_id& /*organisation*/) {}
+  /// Asks the head of a group for its state; returns whether it has answered within `limit`.
+  virtual awaitable<bool> ProbeServer(dispatch_candidate server, milliseconds limit) = 0;
   /// Time since the configuration was last confirmed, for log lines.
   virtual duration ConfigurationAge() const = 0;
   /// Age of the list of servers, for log lines.
@@ -52,6 +55,7 @@
   server_selection& selection;
   service_retry_budgets& retries;
   prompt_quarantine& quarantine;
+  carrier_table& carriers;
   event_log& log;
   metrics_registry& metrics;
   forward_hooks& hooks;
@@ -70,6 +74,9 @@
 
   /// Listens on `ip:port` and returns the bound address; on failure returns the system's error.
   result<std::string> Start(const std::string& address);
+  /// Listens on `ip:port` for requests that other VMs send on; see `carrier_table`. Otherwise like
+  /// `Start`, which must have been called.
+  result<std::string> StartForVms(const std::string& address);
 
   /// Replaces the configuration; requests under way keep the one that they started with.
   void SetConfiguration(std::shared_ptr<const traffic_configuration> configuration);
@@ -84,6 +91,8 @@
   /// Stops accepting connections, closes the idle ones, and refuses the requests that still arrive
   /// on others.
   void StopAccepting();
+  /// Whether this VM has lost its network paths to all backend servers.
+  bool HasLostPaths() const;
   /// Number of requests under way.
   std::size_t RunningCalls() const;
   /// Number of open caller connections.
--- a/include/waxwingwing/peer/messages.h
+++ b/include/waxwingwing/peer/messages.h
@@ -258,9 +258,18 @@
   std::optional<relay_node_message> successor;
   /// Counts that have changed, of the sender and of those that follow it.
   std::vector<usage_entry_message> usage;
+  /// `ip:port` on which the sender takes over requests of VMs that do not reach the backend
+  /// servers; empty while it takes none.
+  std::string carrier_address;
+  /// Number of VMs that do not reach the servers, among the sender and those that follow it.
+  std::uint64_t cut_off_vms = 0;
+  /// Some of the VMs that follow the sender and take requests over, with the addresses for them;
+  /// only while any VM does not reach the servers.
+  std::vector<relay_node_message> carriers;
 
   bool operator==(const vm_load_message&) const = default;
-  MSGPACK_DEFINE(servers, limits, node, vms, sequence, successor, usage)
+  MSGPACK_DEFINE(servers, limits, node, vms, sequence, successor, usage, carrier_address,
+                 cut_off_vms, carriers)
 };
 
 /// The last `vm_load_message` of a VM that the sender of a feed has received. It shows the VM that
@@ -336,11 +345,15 @@
   /// only from exactly `from`: a VM that has read some of the records in between must read the
   /// list.
   bool is_comparison = false;
+  /// Number of VMs that do not reach the backend servers, and, while there are any, VMs that take
+  /// their requests over, with the addresses for them.
+  std::uint64_t cut_off_vms = 0;
+  std::vector<relay_node_message> carriers;
 
   bool operator==(const directory_feed_message&) const = default;
   MSGPACK_DEFINE(from, next, changes, age, servers, limits, lease_holder, lease_end, vms, relays,
                  operators_next, operators_age, operators_age_bound, receipts, era, lease_era,
-                 operators_era, is_comparison)
+                 operators_era, is_comparison, cut_off_vms, carriers)
 };
 
 /// Asks the VM that the sender follows for the operators' records.
--- a/include/waxwingwing/relay/load_report_table.h
+++ b/include/waxwingwing/relay/load_report_table.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "waxwingwing/core/clock.h"
@@ -24,7 +25,13 @@
   /// Increases with each report of a VM.
   std::uint64_t sequence = 0;
   /// The VM with the highest capacity among those that follow the reporting one.
-  std::optional<relay_node> successor;
+  std::optional<relay_node> successor = {};
+  /// Address on which the VM takes requests over from others; empty while it takes none.
+  std::string carrier_address = {};
+  /// VMs that do not reach the servers among the VM and its followers, and some of the followers
+  /// that take requests over.
+  std::size_t cut_off_vms = 0;
+  std::vector<relay_node> carriers = {};
 };
 
 /// The latest reports of the VMs that follow this one. Use from one thread.
@@ -50,6 +57,11 @@
   std::size_t CountVms(bool relays) const;
   /// Number of VMs in each failure domain, without this VM.
   std::map<failure_domain_id, std::size_t> VmsByDomain() const;
+  /// Number of VMs that do not reach the servers, without this VM; like `CountVms`.
+  std::size_t CountCutOff(bool relays) const;
+  /// VMs that take requests over, with the addresses for them: the followers and those that they
+  /// have named.
+  std::vector<relay_node> Carriers() const;
   /// VMs that could relay: the followers and their successors.
   std::vector<relay_node> RelayCandidates() const;
   /// The follower with the highest capacity.
--- a/src/dispatch/dispatch_map.cc
+++ b/src/dispatch/dispatch_map.cc
@@ -81,6 +81,14 @@
   candidates_[{service->id, name->model}].push_back(std::move(candidate));
 }
 
+std::vector<dispatch_candidate> dispatch_map::AllCandidates() const {
+  std::vector<dispatch_candidate> all;
+  for (const auto& [key, candidates] : candidates_) {
+    all.insert(all.end(), candidates.begin(), candidates.end());
+  }
+  return all;
+}
+
 std::string dispatch_map::Describe() const {
   std::string text;
   for (const auto& [key, candidates] : candidates_) {
--- a/src/dispatch/server_load.cc
+++ b/src/dispatch/server_load.cc
@@ -109,6 +109,13 @@
   suspended_until_ = std::max(suspended_until_.value_or(until), until);
 }
 
+void server_load::ForgetFailures() {
+  window_ = kFirstWindow;
+  window_is_learned_ = false;
+  failure_rate_ = 0;
+  suspended_until_.reset();
+}
+
 void server_load::SetOtherVmRequests(std::uint32_t running, time_point now) {
   other_vm_requests_ = running;
   others_reported_at_ = now;
--- a/src/dispatch/server_selection.cc
+++ b/src/dispatch/server_selection.cc
@@ -258,6 +258,10 @@
   return static_cast<double>(load.running()) >= load.window();
 }
 
+void server_selection::ForgetFailures() {
+  for (auto& [server, load] : loads_) load.ForgetFailures();
+}
+
 server_requests server_selection::OwnRequests() const {
   server_requests requests;
   for (const auto& [server, load] : loads_) {
--- a/src/entry/controller_election.cc
+++ b/src/entry/controller_election.cc
@@ -15,6 +15,9 @@
 /// Random part of the delay, as a fraction of it; spreads the claims of equal VMs.
 constexpr double kClaimSpread = 0.25;
 
+/// Interval at which a VM that does not reach the servers looks whether it does again.
+constexpr milliseconds kCutOffPause{100};
+
 duration ClaimDelay(const entry_settings& settings, random_source& random) {
   const double processor = std::max(settings.processor, 0.01);
   const double link = std::max(settings.link_mbps, 1.0) / kReferenceLinkMbps;
@@ -36,6 +39,16 @@
 
 awaitable<void> controller_election::Run() {
   while (!entry_.state.stopping) {
+    if (entry_.state.is_cut_off) {
+      // Another VM can give orders to the servers, and this one has to learn which one does.
+      if (lease_.IsHolder()) {
+        co_await Release();
+      } else if (lease_.Next(entry_.clock.Now()) != lease_step::kWait) {
+        co_await Read();
+      }
+      co_await pause_.Wait(kCutOffPause);
+      continue;
+    }
     const time_point now = entry_.clock.Now();
     const lease_step step = lease_.Next(now);
     if (step == lease_step::kRead) {
@@ -102,11 +115,15 @@
   const bool was_holder = HoldsControllerRole();
   left_ = true;
   pause_.Wake();
-  if (!was_holder) co_return;
+  if (was_holder) co_await Release();
+}
+
+awaitable<void> controller_election::Release() {
   const auto released = co_await store_.AppendLease(std::string(), lease_.record().end);
   const bool done = released && released->appended && released->era == lease_.record().era;
   if (done) lease_.Observe({std::string(), released->end, released->era}, entry_.clock.Now());
-  entry_.log.Write("controller_left", {{"released", done}});
+  entry_.log.Write("controller_left", {{"released", done}, {"cut_off", entry_.state.is_cut_off}});
+  if (done && on_release_) on_release_();
 }
 
 }  // namespace waxwingwing
--- a/src/entry/controller_election.h
+++ b/src/entry/controller_election.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "entry/dependency_health.h"
 #include "entry/entry_state.h"
@@ -21,11 +23,14 @@
   controller_election(entry_context& entry, store_client& store, std::string self,
                       random_source random);
 
-  /// Claims or renews the lease until shutdown.
+  /// Claims or renews the lease until shutdown. Releases it, and claims none, while this VM does
+  /// not reach the backend servers and others do.
   awaitable<void> Run();
   /// Stops acting as the controller at once and releases the lease, so that another VM can take
   /// over.
   awaitable<void> Leave();
+  /// Sets what is called after the lease was released.
+  void SetReleaseHook(std::function<void()> hook) { on_release_ = std::move(hook); }
   /// Records what a current message of the controller says about the lease.
   void Observe(const lease_record& record);
 
@@ -41,6 +46,7 @@
  private:
   awaitable<void> Read();
   awaitable<void> Append();
+  awaitable<void> Release();
   void LogChange(bool was_holder);
 
   entry_context& entry_;
@@ -49,6 +55,7 @@
   wakeable_pause pause_;
   dependency_health health_;
   bool left_ = false;
+  std::function<void()> on_release_;
 };
 
 }  // namespace waxwingwing
--- a/src/entry/controller_link.cc
+++ b/src/entry/controller_link.cc
@@ -24,6 +24,10 @@
 /// The same for the first feed of the controller, which may have lost its relays and get the
 /// reports of all VMs at once.
 constexpr milliseconds kFirstControllerFeedTimeout{2000};
+/// Number of carriers that a feed names, and that a relay names of its followers: enough for a few
+/// of each failure domain.
+constexpr std::size_t kMaxCarriers = 48;
+constexpr std::size_t kMaxReportedCarriers = 8;
 /// Number of reports whose receipts are awaited.
 constexpr std::size_t kMaxSentReports = 32;
 constexpr const char* kCluster = "waxwingwing-entry";
@@ -127,6 +131,32 @@
   // The loads are of use also while the store cannot be read.
   const bool due = published_at_ && now - *published_at_ >= kFeedInterval;
   if (due) BroadcastLoads();
+  if (CountCutOff(true) > 0) NotifyCarriers(SelectCarriers(kMaxCarriers));
+}
+
+std::uint64_t controller_link::CountCutOff(bool relays) const {
+  return reports_.CountCutOff(relays) + (hooks_.has_lost_paths() ? 1 : 0);
+}
+
+std::vector<relay_node> controller_link::SelectCarriers(std::size_t limit) {
+  std::vector<relay_node> carriers = reports_.Carriers();
+  const std::string address = hooks_.carrier_address();
+  if (!address.empty()) {
+    carriers.push_back({self_.vm, address, self_.failure_domain, Capacity(entry_.settings)});
+  }
+  for (std::size_t i = carriers.size(); i > 1; --i) {
+    std::swap(carriers[i - 1], carriers[random_.Below(i)]);
+  }
+  if (carriers.size() > limit) carriers.resize(limit);
+  return carriers;
+}
+
+void controller_link::NotifyCarriers(const std::vector<relay_node>& carriers) const {
+  std::vector<relay_node> others;
+  for (const relay_node& carrier : carriers) {
+    if (carrier.vm != self_.vm) others.push_back(carrier);
+  }
+  hooks_.on_carriers(others);
 }
 
 void controller_link::Follow(time_point now) {
@@ -182,6 +212,13 @@
   report.sequence = ++sequence_;
   const auto successor = reports_.Successor();
   if (successor) report.successor = ToMessage(*successor);
+  report.carrier_address = hooks_.carrier_address();
+  report.cut_off_vms = CountCutOff(false);
+  if (!reports_.empty() && (are_carriers_wanted_ || report.cut_off_vms > 0)) {
+    for (const relay_node& carrier : SelectCarriers(kMaxReportedCarriers)) {
+      report.carriers.push_back(ToMessage(carrier));
+    }
+  }
   if (!network_.IsConnected(parent_->node.vm)) {
     parent_->is_new = true;
     return;
@@ -239,6 +276,9 @@
   report.requests = FromMessage(load.servers);
   report.sequence = load.sequence;
   if (load.successor) report.successor = FromMessage(*load.successor);
+  report.carrier_address = load.carrier_address;
+  report.cut_off_vms = load.cut_off_vms;
+  for (const auto& carrier : load.carriers) report.carriers.push_back(FromMessage(carrier));
   reports_.Record(std::move(report), now);
   hooks_.on_rate_limits(FromMessage(load.limits, now));
   if (hooks_.on_usage && !load.usage.empty()) hooks_.on_usage(FromMessage(load.usage));
@@ -259,8 +299,21 @@
   parents_.SetRelays(relays);
   RecordReceipts(feed.receipts);
   const operators_view operators = OperatorsOf(feed, now);
+  are_carriers_wanted_ = feed.cut_off_vms > 0;
+  std::vector<relay_node> carriers;
+  for (const auto& carrier : feed.carriers) carriers.push_back(FromMessage(carrier));
+  const bool has_cut_off_followers = reports_.CountCutOff(false) > 0;
+  if (has_cut_off_followers) {
+    // Those of the own failure domain come first.
+    for (const relay_node& carrier : SelectCarriers(kMaxCarriers)) carriers.push_back(carrier);
+  }
+  if (are_carriers_wanted_ || has_cut_off_followers) NotifyCarriers(carriers);
   if (!reports_.empty()) {
     directory_feed_message passed_on = feed;
+    passed_on.carriers.clear();
+    for (const relay_node& carrier : carriers) passed_on.carriers.push_back(ToMessage(carrier));
+    passed_on.cut_off_vms =
+        std::max<std::uint64_t>(feed.cut_off_vms, has_cut_off_followers ? 1 : 0);
     passed_on.operators_age_bound = AgeOf(operators.earliest_confirmation, now);
     Broadcast(std::move(passed_on));
   }
@@ -387,6 +440,12 @@
   feed.lease_era = election_.record().era.get();
   feed.vms = vms;
   for (const relay_node& relay : relays_) feed.relays.push_back(ToMessage(relay));
+  feed.cut_off_vms = CountCutOff(true);
+  if (feed.cut_off_vms > 0) {
+    for (const relay_node& carrier : SelectCarriers(kMaxCarriers)) {
+      feed.carriers.push_back(ToMessage(carrier));
+    }
+  }
   feed.operators_next = operators.next.offset;
   feed.operators_era = operators.next.era.get();
   feed.operators_age = AgeOf(operators.confirmed_at, now);
--- a/src/entry/controller_link.h
+++ b/src/entry/controller_link.h
@@ -58,6 +58,13 @@
       operators_since;
   /// Called with operators' records that the VM which this one follows has passed on.
   std::function<void(const operators_update&)> on_operators_update;
+  /// Returns the address on which this VM takes requests over from VMs that do not reach the
+  /// backend servers; empty while it takes none.
+  std::function<std::string()> carrier_address;
+  /// Whether this VM has lost its paths to the backend servers.
+  std::function<bool()> has_lost_paths;
+  /// Called with the other VMs that take requests over while any VM does not reach the servers.
+  std::function<void(const std::vector<relay_node>&)> on_carriers;
   /// Return the counts of usage that changed since the last call, or all of them for a new parent.
   /// Not set when usage is not reported.
   std::function<std::vector<usage_entry>(bool for_new_parent)> usage_changes;
@@ -130,6 +137,11 @@
   void Lead(time_point now);
   void Follow(time_point now);
   void Connect(const relay_node& parent, time_point now);
+  /// Number of VMs that do not reach the servers, among this one and its followers.
+  std::uint64_t CountCutOff(bool relays) const;
+  /// This VM and its followers as far as they take requests over: at most `limit`, any of them.
+  std::vector<relay_node> SelectCarriers(std::size_t limit);
+  void NotifyCarriers(const std::vector<relay_node>& carriers) const;
   bool IsParentSilent(time_point now) const;
   void ReportLoad(time_point now);
   void SendEvidence();
@@ -159,6 +171,9 @@
   load_report_table reports_;
   domain_sizes domain_sizes_;
   std::uint64_t sequence_;
+  random_source random_ = random_source::FromDevice();
+  /// Whether the last feed stated that there are VMs that do not reach the servers.
+  bool are_carriers_wanted_ = false;
   /// The relays that this VM has appointed as the controller.
   std::vector<relay_node> relays_;
   /// What this VM's feeds as the controller have said of the registrations.
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -40,6 +40,8 @@
 constexpr int kStartError = 1;
 constexpr int kUsageError = 2;
 constexpr milliseconds kLogFlushInterval{100};
+/// Interval at which this VM looks whether it is cut off from the backend servers.
+constexpr milliseconds kPathsInterval{50};
 /// Interval at which the numbers of calls to the store and of retries are logged.
 constexpr std::chrono::seconds kUsageInterval{10};
 /// The load balancer removes a VM after two failed checks one second apart; until then it routes
@@ -73,9 +75,10 @@
         retries_(settings.retry_ratio * kRetryBudgetFraction,
                  settings.retry_slack * kRetryBudgetFraction),
         quarantine_({}),
-        forwarder_(
-            {context_, clock_, codec_, selection_, retries_, quarantine_, log_, metrics_, *this},
-            ForwardOptions(settings)),
+        carriers_(settings.failure_domain, random_source::FromDevice()),
+        forwarder_({context_, clock_, codec_, selection_, retries_, quarantine_, carriers_, log_,
+                    metrics_, *this},
+                   ForwardOptions(settings)),
         member_name_(controller_link::MemberName(settings, random_.HexId())),
         election_(entry_, store_, member_name_, random_source::FromDevice()),
         membership_(entry_, store_, member_name_, [this] { UpdateWorkShare(); }),
@@ -106,6 +109,8 @@
       std::cerr << "waxwingwing entry: cannot listen: " << started.reason() << '\n';
       return kStartError;
     }
+    StartCarrier();
+    election_.SetReleaseHook([this] { link_.AnnounceRelease(); });
     const auto linked = link_.Start();
     // Without the link, this VM and any VMs that would follow it read the store themselves.
     if (!linked) log_.Write("link_unavailable", {{"reason", linked.reason()}});
@@ -121,6 +126,7 @@
     asio::co_spawn(context_, stall_notice_channel_.Run(), asio::detached);
     if (usage_) asio::co_spawn(context_, usage_->Run(), asio::detached);
     asio::co_spawn(context_, FlushLog(), asio::detached);
+    asio::co_spawn(context_, WatchPaths(), asio::detached);
     asio::co_spawn(context_, ReportUsage(), asio::detached);
     asio::co_spawn(context_, HandleSignals(), asio::detached);
     context_.run();
@@ -145,6 +151,16 @@
     if (usage_) usage_->OnRequestBegun(organisation);
   }
 
+  awaitable<bool> ProbeServer(dispatch_candidate server, milliseconds limit) override {
+    formation_order probe;
+    probe.action = formation_action::kProbe;
+    probe.target = server.server;
+    probe.address = server.address;
+    const order_reply reply = co_await orders_.Send(std::move(probe), limit);
+    co_return reply.outcome != order_outcome::kNoAnswer&& reply.outcome !=
+        order_outcome::kUnreachable;
+  }
+
   duration ConfigurationAge() const override { return AgeOf(state_.configuration_confirmed_at); }
   duration DirectoryAge() const override { return AgeOf(state_.directory_confirmed_at); }
 
@@ -158,8 +174,42 @@
            AreKeysCurrent();
   }
 
+  /// Listens for requests of VMs that do not reach the backend servers.
+  void StartCarrier() {
+    if (settings_.last_port <= settings_.first_port) return;
+    const std::string address = settings_.own_ip + ":" + std::to_string(settings_.first_port + 1);
+    const auto started = forwarder_.StartForVms(address);
+    if (started) {
+      carrier_address_ = *started;
+    } else {
+      log_.Write("carrier_unavailable", {{"reason", started.reason()}});
+    }
+  }
+
+  void SetCarriers(const std::vector<relay_node>& nodes) {
+    std::vector<carrier_vm> carriers;
+    carriers.reserve(nodes.size());
+    for (const relay_node& node : nodes) {
+      carriers.push_back({node.vm, node.address, node.failure_domain, node.capacity});
+    }
+    carriers_.Set(std::move(carriers), clock_.Now());
+  }
+
+  awaitable<void> WatchPaths() {
+    for (;;) {
+      state_.is_cut_off = forwarder_.HasLostPaths() && !carriers_.IsEmpty(clock_.Now());
+      co_await Pause(context_, kPathsInterval);
+    }
+  }
+
   controller_link_hooks LinkHooks() {
     controller_link_hooks hooks;
+    hooks.carrier_address = [this] {
+      const bool takes_requests = IsReady() && !forwarder_.HasLostPaths();
+      return takes_requests ? carrier_address_ : std::string();
+    };
+    hooks.has_lost_paths = [this] { return forwarder_.HasLostPaths(); };
+    hooks.on_carriers = [this](const std::vector<relay_node>& nodes) { SetCarriers(nodes); };
     hooks.on_feed = [this](const directory_feed_message& feed) { directory_.OnFeed(feed); };
     hooks.on_stall = [this](const stall_message& stall) {
       formation_.OnStall(server_group_id(stall.group));
@@ -336,7 +386,6 @@
                {{"connections", forwarder_.Connections()}, {"running", forwarder_.RunningCalls()}});
     forwarder_.BeginShutdown();
     co_await election_.Leave();
-    link_.AnnounceRelease();
     co_await membership_.Leave();
     const auto limit = std::chrono::duration_cast<duration>(settings_.termination_grace_period *
                                                             kShutdownFraction);
@@ -371,7 +420,10 @@
   server_selection selection_;
   service_retry_budgets retries_;
   prompt_quarantine quarantine_;
+  carrier_table carriers_;
   forwarder forwarder_;
+  /// Address on which this VM takes requests over from others; empty when it cannot.
+  std::string carrier_address_;
   /// Name of this process among the processes of all VMs.
   const std::string member_name_;
   controller_election election_;
--- a/src/entry/entry_state.h
+++ b/src/entry/entry_state.h
@@ -29,6 +29,8 @@
   std::optional<time_point> directory_confirmed_at;
   /// Number of entry VMs, as the controller last stated it; 0 while it is not known.
   std::size_t vms = 0;
+  /// Whether this VM has lost its paths to the backend servers while others have theirs.
+  bool is_cut_off = false;
   bool stopping = false;
 };
 
--- a/src/forward/call_session.cc
+++ b/src/forward/call_session.cc
@@ -1,9 +1,11 @@
 #include "forward/call_session.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/http/error.hpp>
 #include <utility>
 
+#include "forward/carriage.h"
 #include "forward/http_text.h"
 #include "forward/request_reader.h"
 
@@ -26,6 +28,9 @@
 constexpr milliseconds kBodyTimeout{10000};
 /// How long what arrives after a refusal is discarded; the caller has read the refusal by then.
 constexpr milliseconds kDiscardTimeout{500};
+/// Least idle time-out of a connection of another VM, and bytes of the headers that VMs add.
+constexpr milliseconds kVmIdleTimeout{15000};
+constexpr std::uint64_t kMaxVmHeaderBytes = 1024;
 /// Retry delay for callers whose request was ended for lack of memory or connections; the bodies
 /// that use up the memory end by then.
 constexpr milliseconds kOverloadRetryDelay{1000};
@@ -45,8 +50,9 @@
 
 }  // namespace
 
-call_session::call_session(forward_core& core, asio::ip::tcp::socket socket)
+call_session::call_session(forward_core& core, asio::ip::tcp::socket socket, session_origin origin)
     : core_(core),
+      origin_(origin),
       channel_(std::make_shared<caller_channel>(std::move(socket))),
       account_(core.ingress, [this](std::size_t bytes) { EndForMemory(bytes); }) {
   channel_->SetUnsentHook([this] { HoldUnsent(core_.Now()); });
@@ -55,7 +61,13 @@
 call_session::~call_session() { channel_->SetUnsentHook(nullptr); }
 
 caller_limits call_session::Limits() const {
-  return core_.configuration ? core_.configuration->limits : caller_limits{};
+  caller_limits limits = core_.configuration ? core_.configuration->limits : caller_limits{};
+  if (origin_ == session_origin::kVm) {
+    // VMs keep connections for each other however long callers may, and add headers.
+    limits.idle_timeout = std::max(limits.idle_timeout, kVmIdleTimeout);
+    limits.max_header = byte_count(limits.max_header.get() + kMaxVmHeaderBytes);
+  }
+  return limits;
 }
 
 awaitable<void> call_session::Run() {
@@ -179,6 +191,7 @@
   request.keep_alive = message.keep_alive();
   request.body = std::move(message.body());
   request.fields = std::move(static_cast<http_fields&>(message));
+  if (origin_ == session_origin::kVm) request.carried = TakeCarriage(request.fields);
   co_return request;
 }
 
@@ -200,6 +213,7 @@
   http_fields fields;
   const request_id id = core_.codec.ReadRequestMetadata(head).id;
   core_.codec.WriteRefusalHeaders(fields, id, kOverloadRetryDelay);
+  if (origin_ == session_origin::kVm) WriteRefusal(fields, reason);
   channel_->Send(WriteResponseHead(503, "Service Unavailable", fields, 0, false));
   BeginRefusal();
 }
@@ -237,7 +251,9 @@
       .Increment();
   core_.log.Write("request_malformed", {{"status", status}, {"reason", error.message()}});
   const auto name = http::obsolete_reason(static_cast<http::status>(status));
-  channel_->Send(WriteResponseHead(status, {name.data(), name.size()}, {}, 0, false));
+  http_fields fields;
+  if (origin_ == session_origin::kVm) WriteRefusal(fields, "malformed_request");
+  channel_->Send(WriteResponseHead(status, {name.data(), name.size()}, fields, 0, false));
   BeginRefusal();
 }
 
--- a/src/forward/call_session.h
+++ b/src/forward/call_session.h
@@ -26,10 +26,18 @@
   kCall
 };
 
+/// From whom a connection comes.
+enum class session_origin {
+  kCaller,
+  /// Another VM sends on requests of its callers, since it does not reach the servers.
+  kVm
+};
+
 /// Serves the requests on one caller's connection sequentially, until the connection closes.
 class call_session : public std::enable_shared_from_this<call_session> {
  public:
-  call_session(forward_core& core, asio::ip::tcp::socket socket);
+  call_session(forward_core& core, asio::ip::tcp::socket socket,
+               session_origin origin = session_origin::kCaller);
   ~call_session();
   call_session(const call_session&) = delete;
   call_session& operator=(const call_session&) = delete;
@@ -78,6 +86,7 @@
   caller_limits Limits() const;
 
   forward_core& core_;
+  const session_origin origin_;
   std::shared_ptr<caller_channel> channel_;
   ingress_account account_;
   session_phase phase_ = session_phase::kIdle;
--- a/src/forward/crash_check.cc
+++ b/src/forward/crash_check.cc
@@ -27,7 +27,9 @@
     co_return;
   }
   const process_state state = co_await core_.processes.Run(server.address);
-  if (state == process_state::kEnded) ReportCrash(server);
+  // A path that is lost may refuse connections in the server's place.
+  const bool has_ended = state == process_state::kEnded && co_await core_.paths.Run();
+  if (has_ended) ReportCrash(server);
   pending_.erase(server.server);
 }
 
--- a/src/forward/forward_call.cc
+++ b/src/forward/forward_call.cc
@@ -79,7 +79,7 @@
     : core_(core),
       channel_(channel),
       request_(std::move(request)),
-      arrived_at_(core.Now()),
+      arrived_at_(core.Now() - (request_.carried ? request_.carried->age : milliseconds(0))),
       configuration_(core.configuration),
       standby_ended_(core.context),
       capacity_freed_(core.context) {}
@@ -106,8 +106,13 @@
   request_metadata_ = core_.codec.ReadRequestMetadata(request_.fields);
   // Another VM takes the request at once.
   if (core_.refuses_requests) return call_refusal{503, "stopping", milliseconds(0)};
-  if (configuration_) return std::nullopt;
-  return call_refusal{503, "no_configuration", RetryDelay()};
+  if (!configuration_) return call_refusal{503, "no_configuration", RetryDelay()};
+  if (!request_.carried) return std::nullopt;
+  possible_runs_ = request_.carried->possible_runs;
+  if (core_.paths.IsLost()) return call_refusal{503, "paths_lost", RetryDelay()};
+  if (core_.IsBusy()) return call_refusal{503, "overloaded", RetryDelay()};
+  if (configuration_->version >= request_.carried->configuration) return std::nullopt;
+  return call_refusal{503, "old_configuration", RetryDelay()};
 }
 
 std::optional<call_refusal> forward_call::ReadHeaders() {
@@ -172,9 +177,18 @@
 }
 
 awaitable<void> forward_call::Forward() {
-  core_.retries.RecordRequest(service_);
+  // The VM that sends the request to a server counts it, once.
+  const bool is_repeat = request_.carried && request_.carried->possible_runs > 0;
+  if (!MustBeCarried() && !is_repeat) core_.retries.RecordRequest(service_);
   for (;;) {
+    if (MustBeCarried()) {
+      const bool is_ended = co_await Carry();
+      if (is_ended) co_return;
+      continue;
+    }
+    is_at_carrier_ = false;
     const dispatch_candidate* selected = co_await FindServer();
+    if (selected == nullptr && MustBeCarried()) continue;
     if (selected == nullptr) {
       const bool servers_known = selection_failure_ == selection_failure::kAllFull ||
                                  selection_failure_ == selection_failure::kAllResting;
@@ -218,6 +232,7 @@
 }
 
 void forward_call::OnNoProgress(const server_exchange& exchange, exchange_abort reason) {
+  if (core_.paths.IsLost()) return;
   if (&exchange != exchange_.get() || standby_ || awaits_standby_) return;
   if (!TryReserveStandby()) return;
   const dispatch_candidate* selected = SelectServer();
@@ -299,6 +314,7 @@
 
 const dispatch_candidate* forward_call::SelectServer() {
   if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return nullptr;
+  if (core_.paths.IsLost()) return nullptr;
   // The request itself may have shown that its prompt crashes servers.
   if (QuarantinedUntil()) return nullptr;
   const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
@@ -315,6 +331,7 @@
 }
 
 bool forward_call::CanStillBeSent() const {
+  if (core_.paths.IsLost()) return false;
   if (caller_left_ || channel_.gone() || TimeLeft(core_.Now()) < kMinTimeLeft) return false;
   return !QuarantinedUntil();
 }
@@ -344,6 +361,8 @@
     FailRequest(504, "deadline");
   } else if (QuarantinedUntil()) {
     FailRequest(502, kQuarantinedPrompt);
+  } else if (core_.paths.IsLost()) {
+    FailRequest(502, "paths_lost");
   } else {
     if (last_failure_.empty()) {
       const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
@@ -489,6 +508,9 @@
 }
 
 bool forward_call::TryReserveRetry() {
+  if (MustBeCarried()) {
+    return !core_.carriers.IsEmpty(core_.Now()) && core_.retries.TryTake(service_);
+  }
   const auto& candidates = core_.map->Candidates(service_, request_metadata_.model);
   return core_.selection.CanSelect(candidates, tried_, core_.Now(), cost_.work()) &&
          core_.retries.TryTake(service_);
@@ -538,6 +560,7 @@
   if (Closes()) keeps_connection_ = false;
   http_fields fields = response.fields;
   RemoveConnectionFields(fields);
+  if (request_.carried) WriteServer(fields, server_.server, server_.born);
   return WriteResponseHead(response.status, response.reason, fields, std::nullopt, !Closes());
 }
 
@@ -552,12 +575,14 @@
 }
 
 void forward_call::ReportBegun() {
+  if (is_at_carrier_) return;
   if (organisation_ != nullptr) core_.hooks.OnRequestBegun(organisation_->id);
 }
 
 void forward_call::ForwardResponse(server_response& response) {
   if (response.status < 300) ReportBegun();
   RemoveConnectionFields(response.fields);
+  if (request_.carried) WriteServer(response.fields, server_.server, server_.born);
   if (Closes()) keeps_connection_ = false;
   std::string bytes = WriteResponseHead(response.status, response.reason, response.fields,
                                         response.body.size(), keeps_connection_);
@@ -581,6 +606,7 @@
 void forward_call::Refuse(const call_refusal& refusal) {
   http_fields fields;
   core_.codec.WriteRefusalHeaders(fields, request_metadata_.id, refusal.retry_after);
+  if (request_.carried) WriteRefusal(fields, refusal.reason);
   fields.set(http::field::content_type, "application/json");
   const std::string body = "{\"error\":\"" + std::string(refusal.reason) + "\"}";
   if (Closes()) keeps_connection_ = false;
@@ -624,6 +650,7 @@
                    {"model", request_metadata_.model},
                    {"server", server_.server.str()},
                    {"group", server_.group.str()},
+                   {"carried", is_at_carrier_},
                    {"sends", sends_},
                    {"runs", possible_runs_},
                    {"last_event", last_event_.value_or(0)},
--- a/src/forward/forward_call.h
+++ b/src/forward/forward_call.h
@@ -9,6 +9,7 @@
 
 #include "forward/call_cost.h"
 #include "forward/caller_channel.h"
+#include "forward/carriage.h"
 #include "forward/forward_core.h"
 #include "forward/group_room.h"
 #include "forward/server_exchange.h"
@@ -24,6 +25,8 @@
   http_fields fields;
   std::string body;
   bool keep_alive = true;
+  /// Present when another VM has sent the request on, which must not happen twice.
+  std::optional<carriage> carried;
 };
 
 /// Processes one request of a caller, from validation to the last byte of the response.
@@ -62,6 +65,16 @@
   std::optional<call_refusal> CheckPrompt();
 
   awaitable<void> Forward();
+  /// Whether the request must go through another VM, because this one has lost its paths.
+  bool MustBeCarried() const { return core_.paths.IsLost() && !request_.carried; }
+  /// Sends the request on to another VM; returns false when another way has to be found.
+  awaitable<bool> Carry();
+  exchange_plan PlanCarriage(const carrier_vm& carrier);
+  /// Evaluates a finished exchange with a carrier; like `EvaluateExchange`.
+  bool EvaluateCarriage(server_exchange& exchange, exchange_outcome end, const vm_id& carrier);
+  bool HandleCarrierRefusal(const server_response& response, const vm_id& carrier);
+  /// Ends a request that no other VM takes.
+  void FailUncarried();
   const dispatch_candidate* SelectServer();
   /// Selects a server, and waits for capacity if need be. Returns null when the request must end.
   awaitable<const dispatch_candidate*> FindServer();
@@ -180,6 +193,9 @@
   wakeable_pause capacity_freed_;
   dispatch_candidate server_;
   std::set<backend_server_id> tried_;
+  std::set<vm_id> tried_carriers_;
+  /// Whether the current exchange is with a carrier, which counts the request itself.
+  bool is_at_carrier_ = false;
   selection_failure selection_failure_ = selection_failure::kNone;
   std::size_t sends_ = 0;
   /// Number of sends after which the request may have run on a server.
--- a/src/forward/forward_core.h
+++ b/src/forward/forward_core.h
@@ -9,11 +9,13 @@
 #include <utility>
 
 #include "forward/crash_check.h"
+#include "forward/path_check.h"
 #include "forward/process_check.h"
 #include "forward/server_pool.h"
 #include "waxwingwing/core/clock.h"
 #include "waxwingwing/core/ingress_budget.h"
 #include "waxwingwing/directory/traffic_configuration.h"
+#include "waxwingwing/dispatch/carrier_table.h"
 #include "waxwingwing/dispatch/dispatch_map.h"
 #include "waxwingwing/dispatch/server_selection.h"
 #include "waxwingwing/forward/call_codec.h"
@@ -38,6 +40,11 @@
   /// Suspends a server whose streams have stalled, or that rejects requests because of another
   /// server, and reports its group to the controllers. Does nothing while it is suspended already.
   void ReportStall(const dispatch_candidate& server, std::string_view evidence, duration silence);
+  /// Records that the paths to all servers were lost or are back. What was seen of servers until
+  /// then is forgotten, and requests that may go another way do.
+  void OnPathsChanged(bool are_lost, duration after);
+  /// Whether this VM has no room for requests of other VMs besides those of its own callers.
+  bool IsBusy() const;
   /// Lets the waiting requests look for capacity, because some may have become free; of each queue
   /// the next one.
   void WakeWaiting();
@@ -50,6 +57,7 @@
   server_selection& selection;
   service_retry_budgets& retries;
   prompt_quarantine& quarantine;
+  carrier_table& carriers;
   event_log& log;
   metrics_registry& metrics;
   forward_hooks& hooks;
@@ -58,6 +66,7 @@
   server_pool pool;
   process_check processes;
   crash_check crashes;
+  path_check paths;
   output_length_estimator lengths;
 
   std::shared_ptr<const traffic_configuration> configuration;
@@ -72,6 +81,8 @@
   std::set<server_exchange*> exchanges;
   /// Size of the response bodies that the exchanges hold.
   std::size_t buffered_bytes = 0;
+  /// Smoothed time by which periodic checks run late, because the process has no processor time.
+  duration lateness{};
   bool shutting_down = false;
   /// Set late in a shutdown, when too little time is left for further requests.
   bool refuses_requests = false;
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -11,6 +11,7 @@
 
 #include "forward/call_session.h"
 #include "forward/forward_core.h"
+#include "forward/server_exchange.h"
 #include "waxwingwing/platform/ip_endpoint.h"
 
 namespace waxwingwing {
@@ -24,6 +25,16 @@
 constexpr milliseconds kAcceptRetryDelay{50};
 /// Interval between scans for expired idle connections.
 constexpr milliseconds kSweepInterval{500};
+/// Lateness of the periodic checks from which the process is short of processor time, and the
+/// weight of the newest value in it.
+constexpr milliseconds kBusyLateness{60};
+constexpr int kLatenessDivisor = 8;
+
+/// Reports a stall unless it is this VM that has lost its paths.
+awaitable<void> NotifyStall(forward_core& core, dispatch_candidate server) {
+  const bool is_connected = co_await core.paths.Run();
+  if (is_connected) core.hooks.OnStall(server.group, server.server);
+}
 
 }  // namespace
 
@@ -34,6 +45,7 @@
       selection(given.selection),
       retries(given.retries),
       quarantine(given.quarantine),
+      carriers(given.carriers),
       log(given.log),
       metrics(given.metrics),
       hooks(given.hooks),
@@ -41,7 +53,8 @@
       ingress(std::make_shared<ingress_budget>(options.ingress)),
       pool(options),
       processes(*this),
-      crashes(*this) {}
+      crashes(*this),
+      paths(*this) {}
 
 void forward_core::ReportStall(const dispatch_candidate& server, std::string_view evidence,
                                duration silence) {
@@ -57,7 +70,29 @@
                               {"limit_ms", load.SilenceLimit()},
                               {"running", load.running()},
                               {"waiting", load.waiting()}});
-  if (!server.group.empty()) hooks.OnStall(server.group, server.server);
+  if (!server.group.empty()) {
+    asio::co_spawn(context, NotifyStall(*this, server), asio::detached);
+  }
+}
+
+void forward_core::OnPathsChanged(bool are_lost, duration after) {
+  metrics.Gauge("waxwingwing_server_paths_lost").Set(are_lost ? 1 : 0);
+  log.Write(are_lost ? "server_paths_lost" : "server_paths_regained",
+            {{"after_ms", after},
+             {"exchanges", exchanges.size()},
+             {"has_carriers", !carriers.IsEmpty(Now())}});
+  selection.ForgetFailures();
+  if (are_lost) {
+    const std::vector<server_exchange*> running(exchanges.begin(), exchanges.end());
+    for (server_exchange* exchange : running) {
+      if (exchanges.contains(exchange)) exchange->OnPathsLost();
+    }
+  }
+  WakeWaiting();
+}
+
+bool forward_core::IsBusy() const {
+  return lateness > kBusyLateness || ingress->held() > ingress->limit() / 2;
 }
 
 void forward_core::WakeWaiting() {
@@ -91,6 +126,7 @@
   implementation(const forward_dependencies& dependencies, const forward_options& options)
       : core_(dependencies, options),
         acceptor_(core_.context),
+        vm_acceptor_(core_.context),
         check_timer_(core_.context),
         sweep_timer_(core_.context),
         held_bytes_(core_.metrics.Gauge("waxwingwing_caller_bytes")) {}
@@ -98,24 +134,24 @@
   implementation& operator=(const implementation&) = delete;
 
   result<std::string> Start(const std::string& address) {
-    using failed = result<std::string>;
-    const auto endpoint = ParseIpEndpoint(address);
-    if (!endpoint) return failed::Failure(endpoint.reason());
-    error_code error;
-    acceptor_.open(endpoint->protocol(), error);
-    if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error) acceptor_.bind(*endpoint, error);
-    if (!error) acceptor_.listen(kBacklog, error);
-    if (error) return failed::Failure(address + ": " + error.message());
-    asio::co_spawn(core_.context, Accept(), asio::detached);
+    auto bound = Listen(acceptor_, address);
+    if (!bound) return bound;
+    asio::co_spawn(core_.context, Accept(acceptor_, session_origin::kCaller), asio::detached);
     asio::co_spawn(core_.context, Sweep(), asio::detached);
-    const tcp::endpoint bound = acceptor_.local_endpoint(error);
-    return bound.address().to_string() + ":" + std::to_string(bound.port());
+    return bound;
+  }
+
+  result<std::string> StartForVms(const std::string& address) {
+    auto bound = Listen(vm_acceptor_, address);
+    if (!bound) return bound;
+    asio::co_spawn(core_.context, Accept(vm_acceptor_, session_origin::kVm), asio::detached);
+    return bound;
   }
 
   void StopAccepting() {
     error_code ignored;
     acceptor_.close(ignored);
+    vm_acceptor_.close(ignored);
     core_.refuses_requests = true;
     for (call_session* session : Sessions()) session->CloseIfIdle();
   }
@@ -133,19 +169,33 @@
  private:
   std::vector<call_session*> Sessions() const { return {sessions_.begin(), sessions_.end()}; }
 
-  awaitable<void> Accept() {
+  static result<std::string> Listen(tcp::acceptor& acceptor, const std::string& address) {
+    using failed = result<std::string>;
+    const auto endpoint = ParseIpEndpoint(address);
+    if (!endpoint) return failed::Failure(endpoint.reason());
+    error_code error;
+    acceptor.open(endpoint->protocol(), error);
+    if (!error) acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error) acceptor.bind(*endpoint, error);
+    if (!error) acceptor.listen(kBacklog, error);
+    if (error) return failed::Failure(address + ": " + error.message());
+    const tcp::endpoint bound = acceptor.local_endpoint(error);
+    return bound.address().to_string() + ":" + std::to_string(bound.port());
+  }
+
+  awaitable<void> Accept(tcp::acceptor& acceptor, session_origin origin) {
     asio::steady_timer pause(core_.context);
-    while (acceptor_.is_open()) {
+    while (acceptor.is_open()) {
       tcp::socket socket(core_.context);
       error_code error;
-      co_await acceptor_.async_accept(socket, StoreError(error));
+      co_await acceptor.async_accept(socket, StoreError(error));
       if (!error) {
         if (sessions_.size() >= core_.options.max_callers && !CloseWaiting()) continue;
-        asio::co_spawn(core_.context, Serve(std::move(socket)), asio::detached);
+        asio::co_spawn(core_.context, Serve(std::move(socket), origin), asio::detached);
         StartPeriodicChecks();
         continue;
       }
-      if (!acceptor_.is_open()) co_return;
+      if (!acceptor.is_open()) co_return;
       pause.expires_after(kAcceptRetryDelay);
       co_await pause.async_wait(StoreError(error));
     }
@@ -163,8 +213,8 @@
     return true;
   }
 
-  awaitable<void> Serve(tcp::socket socket) {
-    const auto session = std::make_shared<call_session>(core_, std::move(socket));
+  awaitable<void> Serve(tcp::socket socket, session_origin origin) {
+    const auto session = std::make_shared<call_session>(core_, std::move(socket), origin);
     sessions_.insert(session.get());
     co_await session->Run();
     sessions_.erase(session.get());
@@ -199,6 +249,7 @@
     check_timer_.async_wait([this](error_code error) {
       if (error) return;
       const time_point now = core_.Now();
+      core_.lateness += (now - check_timer_.expiry() - core_.lateness) / kLatenessDivisor;
       const std::vector<server_exchange*> exchanges(core_.exchanges.begin(), core_.exchanges.end());
       for (server_exchange* exchange : exchanges) {
         if (core_.exchanges.contains(exchange)) exchange->Check(now);
@@ -213,6 +264,8 @@
 
   forward_core core_;
   tcp::acceptor acceptor_;
+  /// For requests that other VMs send on.
+  tcp::acceptor vm_acceptor_;
   asio::steady_timer check_timer_;
   asio::steady_timer sweep_timer_;
   gauge& held_bytes_;
@@ -241,6 +294,12 @@
   implementation_->core().entry_vms = std::max<std::size_t>(vms, 1);
 }
 
+result<std::string> forwarder::StartForVms(const std::string& address) {
+  return implementation_->StartForVms(address);
+}
+
+bool forwarder::HasLostPaths() const { return implementation_->core().paths.IsLost(); }
+
 void forwarder::BeginShutdown() { implementation_->core().shutting_down = true; }
 
 void forwarder::StopAccepting() { implementation_->StopAccepting(); }
--- /dev/null
+++ b/src/forward/path_check.cc
@@ -0,0 +1,117 @@
+#include "forward/path_check.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <set>
+#include <utility>
+
+#include "forward/forward_core.h"
+#include "waxwingwing/platform/pause.h"
+
+namespace waxwingwing {
+namespace {
+
+/// Number of servers that are probed at once.
+constexpr std::size_t kProbes = 4;
+/// Time for which a round of probes waits for an answer.
+constexpr milliseconds kRoundLimit{300};
+constexpr milliseconds kPollInterval{5};
+
+}  // namespace
+
+path_check::path_check(forward_core& core) : core_(core) {}
+
+void path_check::RecordContact() { paths_.RecordContact(core_.Now()); }
+
+void path_check::RecordFailure() {
+  paths_.RecordFailure(core_.Now());
+  StartWatch();
+}
+
+void path_check::RecordWait(time_point since) {
+  paths_.RecordWait(since, core_.Now());
+  StartWatch();
+}
+
+awaitable<bool> path_check::Run() {
+  if (paths_.HasRecentContact(core_.Now())) co_return !paths_.IsLost();
+  paths_.RecordFailure(core_.Now());
+  StartWatch();
+  while (paths_.current() == server_paths::state::kInDoubt) {
+    co_await Pause(core_.context, kPollInterval);
+  }
+  co_return !paths_.IsLost();
+}
+
+void path_check::StartWatch() {
+  if (is_watching_ || paths_.current() == server_paths::state::kConnected) return;
+  is_watching_ = true;
+  asio::co_spawn(core_.context, Watch(), asio::detached);
+}
+
+awaitable<void> path_check::Watch() {
+  const time_point began_at = core_.Now();
+  for (auto due = paths_.NextRoundAt(); due; due = paths_.NextRoundAt()) {
+    const time_point now = core_.Now();
+    if (now < *due) {
+      co_await Pause(core_.context, std::chrono::ceil<milliseconds>(*due - now));
+      continue;
+    }
+    const bool was_lost = paths_.IsLost();
+    const bool is_answered = co_await RunRound();
+    paths_.RecordRound(is_answered, now, core_.Now());
+    if (was_lost == paths_.IsLost()) continue;
+    if (paths_.IsLost()) lost_at_ = core_.Now();
+    core_.OnPathsChanged(paths_.IsLost(), core_.Now() - began_at);
+  }
+  is_watching_ = false;
+}
+
+awaitable<bool> path_check::RunRound() {
+  struct round {
+    std::size_t pending = 0;
+    bool is_answered = false;
+  };
+  const std::vector<dispatch_candidate> servers = SelectServers();
+  // Without servers there is nothing that the paths could be lost to.
+  if (servers.empty()) co_return true;
+  const auto shared = std::make_shared<round>();
+  shared->pending = servers.size();
+  for (const dispatch_candidate& server : servers) {
+    asio::co_spawn(core_.context, Probe(server),
+                   [shared](const std::exception_ptr& /*failure*/, bool is_answered) {
+                     --shared->pending;
+                     shared->is_answered = shared->is_answered || is_answered;
+                   });
+  }
+  const time_point limit = core_.Now() + kRoundLimit;
+  while (!shared->is_answered && shared->pending > 0 && core_.Now() < limit) {
+    co_await Pause(core_.context, kPollInterval);
+  }
+  core_.metrics
+      .Counter("waxwingwing_path_checks_total", {{"answered", shared->is_answered ? "yes" : "no"}})
+      .Increment();
+  co_return shared->is_answered;
+}
+
+awaitable<bool> path_check::Probe(dispatch_candidate server) {
+  if (!server.group.empty()) co_return co_await core_.hooks.ProbeServer(server, kRoundLimit);
+  co_return co_await core_.processes.TakesConnections(server.address);
+}
+
+std::vector<dispatch_candidate> path_check::SelectServers() {
+  std::vector<dispatch_candidate> all = core_.map->AllCandidates();
+  for (std::size_t i = all.size(); i > 1; --i) std::swap(all[i - 1], all[random_.Below(i)]);
+  // Heads of groups answer probes of their own; a connection to a plain server takes a place there.
+  std::stable_partition(all.begin(), all.end(),
+                        [](const dispatch_candidate& server) { return !server.group.empty(); });
+  std::set<failure_domain_id> domains;
+  std::stable_partition(all.begin(), all.end(), [&](const dispatch_candidate& server) {
+    return domains.insert(server.failure_domain).second;
+  });
+  if (all.size() > kProbes) all.resize(kProbes);
+  return all;
+}
+
+}  // namespace waxwingwing
--- a/src/forward/process_check.cc
+++ b/src/forward/process_check.cc
@@ -49,6 +49,16 @@
   co_return state;
 }
 
+awaitable<bool> process_check::TakesConnections(std::string address) {
+  std::unique_ptr<server_connection> connection;
+  const process_state state = co_await TryConnect(address, connection);
+  if (state != process_state::kRunning) co_return false;
+  co_await Pause(core_.context, kEndingTime);
+  if (!connection->IsOpenAndQuiet()) co_return false;
+  core_.pool.Keep(address, std::move(connection), std::nullopt, core_.Now());
+  co_return true;
+}
+
 awaitable<process_state> process_check::Connect(std::string address) {
   std::unique_ptr<server_connection> connection;
   const process_state first = co_await TryConnect(address, connection);
--- a/src/forward/process_check.h
+++ b/src/forward/process_check.h
@@ -37,6 +37,8 @@
   /// State of the process at `address` at a moment after the call. Concurrent checks of one address
   /// share a connection, which is kept for requests if the process runs.
   awaitable<process_state> Run(std::string address);
+  /// Whether a new connection to `address` is taken and stays open; it is kept for requests.
+  awaitable<bool> TakesConnections(std::string address);
 
  private:
   struct round {
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -34,8 +34,9 @@
 }  // namespace
 
 const char* NameOf(exchange_abort abort_reason) {
-  static constexpr std::array kNames = {"none",        "caller_left", "deadline",   "connect_limit",
-                                        "first_limit", "stall",       "superseded", "withdrawn"};
+  static constexpr std::array kNames = {"none",          "caller_left", "deadline",
+                                        "connect_limit", "first_limit", "stall",
+                                        "superseded",    "withdrawn",   "paths_lost"};
   return kNames.at(static_cast<std::size_t>(abort_reason));
 }
 
@@ -49,7 +50,11 @@
       work_(core, plan_.target, plan_.work, started_at_) {
   if (plan_.last_event) splitter_.ContinueAfter(*plan_.last_event);
   core_.exchanges.insert(this);
-  core_.selection.LoadOf(plan_.target.server).RequestSent(started_at_);
+  Load().RequestSent(started_at_);
+}
+
+server_load& server_exchange::Load() {
+  return plan_.is_carried ? carrier_load_ : core_.selection.LoadOf(plan_.target.server);
 }
 
 server_exchange::~server_exchange() {
@@ -64,13 +69,24 @@
   if (connection_) connection_->socket.close(ignored);
 }
 
+void server_exchange::OnPathsLost() {
+  // The answer to a request that must not be sent again may still arrive.
+  if (plan_.is_carried || (sent_at_ && plan_.at_most_once)) return;
+  Abort(exchange_abort::kPathsLost);
+}
+
 exchange_outcome server_exchange::RecordFailure(std::string_view step, const error_code& error) {
+  const bool is_broken_off =
+      abort_reason_ != exchange_abort::kNone && abort_reason_ != exchange_abort::kConnectLimit;
+  // Servers close idle connections.
+  const bool was_idle = !sent_at_ && connection_ && connection_->reused;
+  if (!plan_.is_carried && !is_broken_off && !was_idle) core_.paths.RecordFailure();
   if (failure_.empty()) failure_ = std::string(step) + ": " + error.message();
   return exchange_outcome::kBroken;
 }
 
 awaitable<exchange_outcome> server_exchange::Run() {
-  server_load& load = core_.selection.LoadOf(plan_.target.server);
+  server_load& load = Load();
   exchange_outcome end = exchange_outcome::kNotSent;
   const bool connected = co_await Connect();
   if (connected) end = co_await Send();
@@ -117,7 +133,8 @@
   RecordFailure("connecting", error);
   if (!IsServerAtFault()) co_return false;
   core_.pool.Drop(plan_.target.address);
-  core_.selection.LoadOf(plan_.target.server).Suspend(core_.Now() + core_.options.suspension);
+  if (plan_.is_carried) co_return false;
+  Load().Suspend(core_.Now() + core_.options.suspension);
   co_return false;
 }
 
@@ -165,6 +182,7 @@
       RecordUnreadableHead(head.error);
       co_return false;
     }
+    if (!plan_.is_carried) core_.paths.RecordContact();
     const auto& message = parser_->get();
     response_.metadata = core_.codec.ReadResponseMetadata(message.result_int(), message);
     if (IsUnclearRefusal()) {
@@ -172,10 +190,11 @@
       co_return false;
     }
     if (response_.metadata.id.empty() || response_.metadata.id == plan_.id) {
-      if (IsSurelyOwn()) core_.RecordNotice(plan_.target, response_.metadata.notice);
       response_.status = message.result_int();
       response_.reason = std::string(message.reason());
       response_.fields = message;
+      if (plan_.is_carried) response_.carried = TakeCarriedAnswer(response_.fields);
+      if (IsSurelyOwn()) RecordNotice();
       const bool own = response_.metadata.authentic && !response_.metadata.encoded;
       pass_events_ =
           plan_.stream && response_.status == 200 && own && MayBeEventStream(response_.fields);
@@ -190,6 +209,17 @@
   co_return false;
 }
 
+void server_exchange::RecordNotice() {
+  dispatch_candidate server = plan_.target;
+  if (plan_.is_carried) {
+    // What a server has stated in an answer binds each VM that has passed the answer on.
+    if (response_.carried.server.empty()) return;
+    server.server = response_.carried.server;
+    server.born = response_.carried.born;
+  }
+  core_.RecordNotice(server, response_.metadata.notice);
+}
+
 void server_exchange::RecordUnreadableHead(const error_code& error) {
   if (!IsResponseError(error)) {
     RecordFailure("reading the response head", error);
@@ -298,7 +328,7 @@
   const bool may_be_empty = plan_.last_event && !plan_.more_follow;
   if (event_count() == 0 && !may_be_empty) return "the stream ended before its next event";
   if (splitter_.IsBehind()) return "the stream ended before the event after which it was to go on";
-  const server_load& load = core_.selection.LoadOf(plan_.target.server);
+  const server_load& load = Load();
   const duration limit = std::max<duration>(core_.options.migration_limit, load.SilenceLimit());
   if (event_count() > 0 && awaited_end > limit) return "the stream ended after a long silence";
   return {};
@@ -306,6 +336,7 @@
 
 bool server_exchange::ProcessBytes(std::string_view bytes) {
   if (abort_reason_ != exchange_abort::kNone) return false;
+  if (!plan_.is_carried) core_.paths.RecordContact();
   if (!pass_events_) return AppendToBody(bytes);
   std::string events;
   const std::size_t events_before = splitter_.event_count();
@@ -313,7 +344,7 @@
   if (!events.empty()) {
     if (!response_started_) RecordResponseStart();
     work_.OnEvents(splitter_.event_count() - events_before, core_.Now());
-    core_.selection.LoadOf(plan_.target.server).EventArrived(core_.Now());
+    Load().EventArrived(core_.Now());
     ++event_arrivals_;
     receiver_.OnEvents(*this, events);
   }
@@ -337,7 +368,7 @@
 void server_exchange::RecordResponseStart() {
   response_started_ = true;
   const time_point now = core_.Now();
-  core_.selection.LoadOf(plan_.target.server).AnswerBegun(now, started_at_, plan_.objective);
+  Load().AnswerBegun(now, started_at_, plan_.objective);
 }
 
 void server_exchange::Finish() {
@@ -354,7 +385,10 @@
     if (now - started_at_ > core_.options.connect_limit) Abort(exchange_abort::kConnectLimit);
     return;
   }
-  server_load& load = core_.selection.LoadOf(plan_.target.server);
+  // The carrier watches the server.
+  if (plan_.is_carried) return;
+  core_.paths.RecordWait(*sent_at_);
+  server_load& load = Load();
   if (!response_started_ && !congestion_noted_ && now - *sent_at_ > plan_.objective) {
     congestion_noted_ = true;
     load.RecordCongestion(now);
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "forward/carriage.h"
 #include "forward/forward_core.h"
 #include "forward/work_meter.h"
 #include "waxwingwing/streaming/event_splitter.h"
@@ -21,6 +22,8 @@
   std::string reason;
   http_fields fields;
   response_metadata metadata;
+  /// What a carrier tells about its answer.
+  carried_answer carried;
   std::string body;
 };
 
@@ -41,6 +44,8 @@
   bool queues_late = false;
   /// Id of the last stream event that the caller has received.
   std::optional<std::uint64_t> last_event;
+  /// The target is another VM, which takes the request over.
+  bool is_carried = false;
   /// More events follow `last_event`: an earlier run has broken off within one.
   bool more_follow = false;
   /// Latency objective: time within which the response should start.
@@ -65,6 +70,8 @@
   kSuperseded,
   /// The server stated, before the request was sent, that it wants no more requests.
   kWithdrawn,
+  /// This VM has lost its paths to all servers.
+  kPathsLost,
 };
 
 const char* NameOf(exchange_abort abort_reason);
@@ -112,6 +119,9 @@
   awaitable<exchange_outcome> Run();
   /// Aborts the exchange; the closed connection signals the server to cancel the request.
   void Abort(exchange_abort abort_reason);
+  /// Ends the exchange, if the request may still go another way, because this VM has lost its paths
+  /// to all servers.
+  void OnPathsLost();
   /// Enforces the time limits and detects stalled streams of the server.
   void Check(time_point now);
 
@@ -147,6 +157,8 @@
   /// taken a while.
   bool MaySend();
   awaitable<bool> ReadHead();
+  /// Records what the answering server states about itself.
+  void RecordNotice();
   void RecordUnreadableHead(const error_code& error);
   /// Whether the response is a refusal that may belong to an earlier request on the connection, and
   /// the request must not be taken as "not run" for that reason.
@@ -170,6 +182,8 @@
   /// Whether the wait for the first event is due to a fault of the server rather than to its queue.
   bool IsStuck(time_point now, const server_load& load) const;
   exchange_outcome RecordFailure(std::string_view step, const error_code& error);
+  /// Load of the server; of a carrier one that nobody else sees.
+  server_load& Load();
   /// Whether the server stated that it has not run the request.
   bool IsRefused() const;
   void RecordRefusal();
@@ -182,6 +196,7 @@
   std::optional<parser_type> parser_;
   event_splitter splitter_;
   server_response response_;
+  server_load carrier_load_;
   std::string failure_;
   time_point started_at_{};
   work_meter work_;
--- a/src/peer/messages.cc
+++ b/src/peer/messages.cc
@@ -97,6 +97,12 @@
 
 bool IsUnnamed(const relay_node_message& node) { return node.vm.empty() || node.address.empty(); }
 
+bool AreValid(const std::vector<relay_node_message>& nodes) {
+  return std::none_of(nodes.begin(), nodes.end(), [](const relay_node_message& node) {
+    return IsUnnamed(node) || HasOddCapacity(node);
+  });
+}
+
 std::string InvalidReason(const std::vector<usage_entry_message>& usage) {
   for (const usage_entry_message& entry : usage) {
     for (const organisation_count_message& count : entry.counts) {
@@ -113,6 +119,8 @@
   if (HasOddCapacity(message.node)) return "a capacity is out of range";
   if (message.successor && HasOddCapacity(*message.successor)) return "a capacity is out of range";
   if (message.successor && IsUnnamed(*message.successor)) return "a relay has no name or address";
+  if (message.cut_off_vms > kMaxVms) return "a load report is of too many VMs";
+  if (!AreValid(message.carriers)) return "a carrier has no name or address, or an odd capacity";
   std::string invalid_usage = InvalidReason(message.usage);
   if (!invalid_usage.empty()) return invalid_usage;
   return InvalidReason(message.limits);
@@ -127,7 +135,8 @@
   if (std::any_of(message.relays.begin(), message.relays.end(), HasOddCapacity)) {
     return "a capacity is out of range";
   }
-  if (message.vms > kMaxVms) return "a feed is of too many VMs";
+  if (message.vms > kMaxVms || message.cut_off_vms > kMaxVms) return "a feed is of too many VMs";
+  if (!AreValid(message.carriers)) return "a carrier has no name or address, or an odd capacity";
   const auto is_odd = [](const std::optional<milliseconds>& age) {
     return age && (age->count() < 0 || *age > kMaxConfirmationAge);
   };
--- a/src/relay/load_report_table.cc
+++ b/src/relay/load_report_table.cc
@@ -37,6 +37,30 @@
   return count;
 }
 
+std::size_t load_report_table::CountCutOff(bool relays) const {
+  std::size_t count = 0;
+  for (const auto& [vm, known] : reports_) {
+    if (known.report.vms == 1 || relays) count += known.report.cut_off_vms;
+  }
+  return count;
+}
+
+std::vector<relay_node> load_report_table::Carriers() const {
+  std::map<vm_id, relay_node> carriers;
+  for (const auto& [vm, known] : reports_) {
+    for (const relay_node& carrier : known.report.carriers)
+      carriers.try_emplace(carrier.vm, carrier);
+    if (known.report.carrier_address.empty()) continue;
+    relay_node node = known.report.node;
+    node.address = known.report.carrier_address;
+    carriers.insert_or_assign(vm, std::move(node));
+  }
+  std::vector<relay_node> list;
+  list.reserve(carriers.size());
+  for (auto& [vm, carrier] : carriers) list.push_back(std::move(carrier));
+  return list;
+}
+
 std::map<failure_domain_id, std::size_t> load_report_table::VmsByDomain() const {
   std::map<failure_domain_id, std::size_t> vms;
   for (const auto& [vm, known] : reports_) {
--- a/stand_ins/proxy.cc
+++ b/stand_ins/proxy.cc
@@ -1,6 +1,7 @@
 #include "stand_ins/proxy.h"
 
 #include "stand_ins/flags.h"
+#include "stand_ins/socket_owner.h"
 
 namespace waxwingwing::stand_ins {
 
@@ -23,7 +24,8 @@
       co_await Sleep(milliseconds(10));
       continue;
     }
-    if (faults_.cut) {
+    const bool is_refused = refused_process_ != 0 && IsPeerOf(accepted, refused_process_);
+    if (faults_.cut || is_refused) {
       // The peer sees a connection reset, as from a host without a listener.
       accepted.set_option(asio::socket_base::linger(true, 0), error);
       accepted.close(error);
@@ -36,6 +38,7 @@
 awaitable<void> proxy::Forward(tcp::socket accepted) {
   auto connection = std::make_shared<proxy_connection>(std::move(accepted), faults_);
   connections_.insert(connection);
+  if (hung_process_ != 0 && IsPeerOf(connection->accepted(), hung_process_)) connection->Silence();
   const std::size_t record = records().Add("connections", {{"at_us", MonotonicMicros()}});
   co_await connection->Run(ParseEndpoint(FLAGS_target));
   connections_.erase(connection);
@@ -49,6 +52,16 @@
   for (const auto& connection : connections_) connection->Close();
 }
 
+void proxy::DisturbProcess() {
+  for (const auto& connection : connections_) {
+    if (refused_process_ != 0 && IsPeerOf(connection->accepted(), refused_process_)) {
+      connection->Close();
+    } else if (hung_process_ != 0 && IsPeerOf(connection->accepted(), hung_process_)) {
+      connection->Silence();
+    }
+  }
+}
+
 bool proxy::SetFault(const std::string& name, const json& value) {
   if (name == "delay_ms") {
     faults_.delay = milliseconds(value.get<std::int64_t>());
@@ -62,6 +75,12 @@
   } else if (name == "silence_open") {
     if (!value.get<bool>()) return true;
     for (const auto& connection : connections_) connection->Silence();
+  } else if (name == "refuse_process") {
+    refused_process_ = value.get<std::int64_t>();
+    DisturbProcess();
+  } else if (name == "hang_process") {
+    hung_process_ = value.get<std::int64_t>();
+    DisturbProcess();
   } else if (name == "drop_answers") {
     faults_.drop_answers = value.get<std::uint64_t>();
   } else {
--- a/stand_ins/proxy_connection.h
+++ b/stand_ins/proxy_connection.h
@@ -30,6 +30,7 @@
   /// Connects to the target and forwards until both directions have ended.
   awaitable<void> Run(tcp::endpoint target);
   void Close();
+  const tcp::socket& accepted() const { return accepted_; }
   /// From now on accepts bytes and never forwards them.
   void Silence() { silent_ = true; }
 
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -107,8 +107,7 @@
 
 nlohmann::json entry_deployment::Settings(const std::string& vm, const std::string& caller_address,
                                           const std::string& ready_address) const {
-  const std::string link_address = FreeAddress();
-  const int link_port = std::stoi(link_address.substr(link_address.rfind(':') + 1));
+  const int link_port = FreePortPair();
   nlohmann::json limits = nlohmann::json::object();
   if (options_.memory_mb > 0) limits["memory_mb"] = options_.memory_mb;
   if (options_.max_fds > 0) limits["max_fds"] = options_.max_fds;
@@ -118,7 +117,7 @@
       {"zone", "ifo"},
       {"ip", "127.0.0.1"},
       {"bootstrap", true},
-      {"port_range", {link_port, link_port}},
+      {"port_range", {link_port, link_port + 1}},
       {"listen", {{"front", caller_address}, {"ready", ready_address}}},
       {"zones", {{"ifo", "ogun-west"}}},
       {"bounds",
--- a/tests/integration/free_address.cc
+++ b/tests/integration/free_address.cc
@@ -26,20 +26,31 @@
   return bound;
 }
 
-}  // namespace
-
-std::string FreeAddress() {
+/// The first of `count` adjacent ports that are free and were not returned before.
+std::uint16_t FreePorts(std::uint16_t count) {
   constexpr std::uint16_t first_port = 16000;
   constexpr std::uint64_t ports = 16000;
   constexpr int attempts = 100;
   static random_source random = random_source::FromDevice();
   static std::set<std::uint16_t> returned;
+  const auto is_usable = [](std::uint16_t port) {
+    return IsFree(port) && !returned.contains(port);
+  };
   for (int attempt = 0; attempt < attempts; ++attempt) {
-    const auto port = static_cast<std::uint16_t>(first_port + random.Below(ports));
-    if (!IsFree(port) || !returned.insert(port).second) continue;
-    return "127.0.0.1:" + std::to_string(port);
+    const auto first = static_cast<std::uint16_t>(first_port + random.Below(ports));
+    bool are_usable = true;
+    for (std::uint16_t i = 0; i < count; ++i) are_usable = are_usable && is_usable(first + i);
+    if (!are_usable) continue;
+    for (std::uint16_t i = 0; i < count; ++i) returned.insert(first + i);
+    return first;
   }
   throw std::runtime_error("no free port");
 }
 
+}  // namespace
+
+std::string FreeAddress() { return "127.0.0.1:" + std::to_string(FreePorts(1)); }
+
+std::uint16_t FreePortPair() { return FreePorts(2); }
+
 }  // namespace waxwingwing::integration
--- a/tests/integration/free_address.h
+++ b/tests/integration/free_address.h
@@ -9,4 +9,8 @@
 /// which could otherwise take it before the program under test listens.
 std::string FreeAddress();
 
+/// Returns the first of two adjacent ports of loopback that no process listens on and that were not
+/// returned before.
+std::uint16_t FreePortPair();
+
 }  // namespace waxwingwing::integration
--- a/tests/unit/call_session_test.cc
+++ b/tests/unit/call_session_test.cc
@@ -10,6 +10,7 @@
 
 #include "platform/header_codec.h"
 #include "tests/unit/run_awaitable.h"
+#include "tests/unit/silent_hooks.h"
 #include "waxwingwing/formation/group_name.h"
 
 namespace waxwingwing {
@@ -17,15 +18,6 @@
 
 using asio::ip::tcp;
 
-class silent_hooks final : public forward_hooks {
- public:
-  bool AreKeysCurrent() const override { return true; }
-  void OnStall(const server_group_id& /*group*/, const backend_server_id& /*head*/) override {}
-  void OnDirectoryMismatch() override {}
-  duration ConfigurationAge() const override { return duration::zero(); }
-  duration DirectoryAge() const override { return duration::zero(); }
-};
-
 constexpr int kSmallBuffer = 2048;
 constexpr std::size_t kLongAnswer = 15000;
 
@@ -36,7 +28,8 @@
       : log_(clock_, "vm", [](std::string_view text) { return text.size(); }),
         selection_({}, failure_domain_id("f"), random_source(1)),
         retries_(1, 1),
-        core_({context_, clock_, codec_, selection_, retries_, quarantine_, log_, metrics_, hooks_},
+        core_({context_, clock_, codec_, selection_, retries_, quarantine_, carriers_, log_,
+               metrics_, hooks_},
               options),
         caller_(context_) {
     auto configuration = std::make_shared<traffic_configuration>();
@@ -151,6 +144,7 @@
   server_selection selection_;
   service_retry_budgets retries_;
   prompt_quarantine quarantine_{{}};
+  carrier_table carriers_{failure_domain_id("f"), random_source(2)};
   silent_hooks hooks_;
   forward_core core_;
   tcp::socket caller_;
--- a/tests/unit/connection_end_test.cc
+++ b/tests/unit/connection_end_test.cc
@@ -18,6 +18,7 @@
 #include "forward/server_exchange.h"
 #include "platform/header_codec.h"
 #include "tests/unit/run_awaitable.h"
+#include "tests/unit/silent_hooks.h"
 
 namespace waxwingwing {
 namespace {
@@ -29,15 +30,6 @@
 
 std::string Event(int number) { return "id: " + std::to_string(number) + "\ndata: x\n\n"; }
 
-class silent_hooks final : public forward_hooks {
- public:
-  bool AreKeysCurrent() const override { return true; }
-  void OnStall(const server_group_id& /*group*/, const backend_server_id& /*head*/) override {}
-  void OnDirectoryMismatch() override {}
-  duration ConfigurationAge() const override { return duration::zero(); }
-  duration DirectoryAge() const override { return duration::zero(); }
-};
-
 /// Keeps the events that an exchange passes on.
 class event_receiver final : public exchange_receiver {
  public:
@@ -74,7 +66,8 @@
       : log_(clock_, "vm", [](std::string_view text) { return text.size(); }),
         selection_({}, failure_domain_id("f"), random_source(1)),
         retries_(1, 1),
-        core_({context_, clock_, codec_, selection_, retries_, quarantine_, log_, metrics_, hooks_},
+        core_({context_, clock_, codec_, selection_, retries_, quarantine_, carriers_, log_,
+               metrics_, hooks_},
               {}),
         acceptor_(context_, {asio::ip::address_v4::loopback(), 0}) {
     plan_.target.server = backend_server_id("s1");
@@ -158,6 +151,7 @@
   server_selection selection_;
   service_retry_budgets retries_;
   prompt_quarantine quarantine_{quarantine_options{}};
+  carrier_table carriers_{failure_domain_id("f"), random_source(2)};
   metrics_registry metrics_;
   silent_hooks hooks_;
   forward_core core_;
--- a/tests/unit/controller_link_test.cc
+++ b/tests/unit/controller_link_test.cc
@@ -4,6 +4,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <catch2/catch.hpp>
+#include <optional>
+#include <string>
 #include <variant>
 
 #include "tests/unit/run_awaitable.h"
@@ -40,8 +42,21 @@
     hooks.on_rate_limits = [this](const std::vector<rate_limit_statement>&) { ++loads; };
     hooks.own_evidence = hooks.all_evidence = [] { return std::vector<part_evidence>(); };
     hooks.on_evidence = [](const std::vector<part_evidence>&) {};
-    hooks.operators = [] { return operators_view(); };
+    hooks.operators = [this] {
+      operators_view view;
+      view.next = operators_next;
+      return view;
+    };
     hooks.on_operators = [](const operators_view&) {};
+    hooks.operators_since = [this](const std::optional<store_position>& known) {
+      return operators.Since(known);
+    };
+    hooks.on_operators_update = [this](const operators_update& update) {
+      received_operators.push_back(update);
+    };
+    hooks.carrier_address = [] { return std::string("127.0.0.1:7"); };
+    hooks.has_lost_paths = [this] { return has_lost_paths; };
+    hooks.on_carriers = [this](const std::vector<relay_node>& nodes) { carriers = nodes; };
     hooks.usage_changes = [this](bool for_new_parent) {
       reports_to_new_parents += for_new_parent ? 1 : 0;
       return for_new_parent ? usage : std::vector<usage_entry>();
@@ -79,6 +94,11 @@
   std::vector<usage_entry> usage = {{incarnation(9), 7, {{organisation_id("first"), 4}}}};
   std::vector<usage_entry> received_usage;
   int reports_to_new_parents = 0;
+  operators_snapshot operators;
+  store_position operators_next;
+  std::vector<operators_update> received_operators;
+  bool has_lost_paths = false;
+  std::vector<relay_node> carriers;
   controller_link link{entry, election, Hooks()};
   std::vector<peer_message> received;
   peer_network other{
@@ -153,5 +173,77 @@
   CHECK(!fixture.HasReceived<directory_feed_message>());
 }
 
+/// The first message of a type that another VM has received; null when there is none.
+template <typename message_type>
+const message_type* FirstReceived(const std::vector<peer_message>& received) {
+  for (const peer_message& message : received) {
+    const auto* found = std::get_if<message_type>(&message);
+    if (found != nullptr) return found;
+  }
+  return nullptr;
+}
+
+// Guards against a record that all VMs read from the store at one moment.
+TEST_CASE("operators' records are passed on to followers, and to those that ask", "[entry]") {
+  link_fixture fixture;
+  boost::asio::co_spawn(fixture.context, fixture.link.Run(), boost::asio::detached);
+  fixture.other.SetPeers({{vm_id("v"), fixture.link_address}});
+  vm_load_message load;
+  load.node = {"o", fixture.other_address, "ifo", 1};
+  REQUIRE(RunUntil(fixture.context, [&] {
+    if (fixture.loads == 0) fixture.other.Send(vm_id("v"), load);
+    return fixture.loads > 0;
+  }));
+  const auto records = [&] { return FirstReceived<operators_records_message>(fixture.received); };
+  fixture.operators_next = {store_era(1), 7};
+  fixture.operators.Replace({{"config", "v1"}}, fixture.operators_next);
+  fixture.link.PassOnOperators();
+  REQUIRE(RunUntil(fixture.context, [&] { return records() != nullptr; }));
+  CHECK(records()->next == 7);
+  fixture.received.clear();
+  REQUIRE(fixture.other.Send(vm_id("v"), operators_request_message{1, 7}));
+  REQUIRE(fixture.other.Send(vm_id("v"), operators_request_message{0, std::nullopt}));
+  REQUIRE(RunUntil(fixture.context, [&] { return records() != nullptr; }));
+  CHECK(!records()->from);
+}
+
+TEST_CASE("operators' records are taken from the VM that this one follows only", "[entry]") {
+  link_fixture fixture;
+  const auto messages = ToMessages({std::nullopt, {store_era(1), 7}, {{"config", "v1"}}});
+  REQUIRE(messages);
+  boost::asio::co_spawn(fixture.context, fixture.link.Run(), boost::asio::detached);
+  fixture.other.SetPeers({{vm_id("v"), fixture.link_address}});
+  REQUIRE(
+      RunUntil(fixture.context, [&] { return fixture.other.Send(vm_id("v"), messages->front()); }));
+  const auto until = std::chrono::steady_clock::now() + milliseconds(100);
+  RunUntil(fixture.context, [&] { return std::chrono::steady_clock::now() >= until; });
+  CHECK(fixture.received_operators.empty());
+  fixture.election.Observe({"o/p/" + fixture.other_address, 5});
+  CHECK(RunUntil(fixture.context, [&] {
+    fixture.other.Send(vm_id("v"), messages->front());
+    return !fixture.received_operators.empty();
+  }));
+}
+
+// Guards against a VM without paths to the servers that knows nobody who has them.
+TEST_CASE("a VM that does not reach the servers learns from feeds who does", "[entry]") {
+  link_fixture fixture;
+  fixture.has_lost_paths = true;
+  const std::string holder = "o/p/" + fixture.other_address;
+  fixture.election.Observe({holder, 5});
+  boost::asio::co_spawn(fixture.context, fixture.link.Run(), boost::asio::detached);
+  REQUIRE(RunUntil(fixture.context, [&] { return fixture.HasReceived<vm_load_message>(); }));
+  CHECK(FirstReceived<vm_load_message>(fixture.received)->cut_off_vms == 1);
+  directory_feed_message feed;
+  feed.lease_holder = holder;
+  feed.lease_end = 5;
+  feed.cut_off_vms = 1;
+  feed.carriers = {{"c", "127.0.0.1:9", "ifo", 1}, {"v", "127.0.0.1:7", "ifo", 1}};
+  REQUIRE(fixture.other.Send(vm_id("v"), feed));
+  REQUIRE(RunUntil(fixture.context, [&] { return !fixture.carriers.empty(); }));
+  CHECK(fixture.carriers.size() == 1);
+  CHECK(fixture.carriers.front().address == "127.0.0.1:9");
+}
+
 }  // namespace
 }  // namespace waxwingwing
