--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -47,9 +47,9 @@
 }
 
 duration PassOnLimit(const entry_settings& settings) {
-  constexpr std::uint64_t kSteps = 1024;
+  constexpr std::uint64_t steps = 1024;
   const double spread =
-      static_cast<double>(StableHash(settings.vm.str(), 3) % kSteps) / static_cast<double>(kSteps);
+      static_cast<double>(StableHash(settings.vm.str(), 3) % steps) / static_cast<double>(steps);
   return Fraction(settings.configuration_limit, kPassOnFraction * (1 + spread));
 }
 
