configuration_controller: after a restore no records are taken from VMs that read them first

Callers would have seen: requests to a domain that the operators had evacuated, for seconds after the store came back from a copy. Cause: compared the era of records that are passed on with the newest era that any call of this VM had shown. A VM that knew of the restore by its lease, and had not read the operators' records since, took all records from the VM that it follows, without the time in which the operators write again. Change: a VM takes records only of the era in which it has read them itself.

--- a/src/entry/configuration_controller.cc
+++ b/src/entry/configuration_controller.cc
@@ -126,7 +126,8 @@
 
 void configuration_controller::OnUpdate(const operators_update& update) {
   // After a restore each VM finds out itself what the store has lost.
-  if (restored_at_ || update.next.era != store_.era()) return;
+  const bool has_read_era = !era_ || *era_ == update.next.era;
+  if (restored_at_ || !has_read_era || update.next.era != store_.era()) return;
   const bool leads_on =
       position_ ? update.next > *position_ && update.from <= position_ : !update.from.has_value();
   if (!leads_on) return;
--- a/tests/unit/configuration_controller_test.cc
+++ b/tests/unit/configuration_controller_test.cc
@@ -289,6 +289,24 @@
   CHECK(fixture.configuration.View().next.offset == 9);
 }
 
+// Guards against an evacuation that ends because the copy from which the store was restored lacks
+// its record: a VM that knew of the restore by another call took all records from its parent.
+TEST_CASE("records of an era that a VM has not read itself are not taken", "[entry]") {
+  configuration_fixture fixture;
+  fixture.server.Add(InEra(1, Newest(5, 5, true)));
+  fixture.Start();
+  REQUIRE(fixture.RunUntilVersion(5));
+  fixture.server.Add(InEra(2, BigEndian(0, 8) + BigEndian(0, 8)));
+  REQUIRE(RunAwaitable(fixture.context,
+                       fixture.store.ReadFrom(store_stream::kStalls, 0, milliseconds(0))));
+  REQUIRE(fixture.store.era() == store_era(2));
+  auto update = UpdateOf(std::nullopt, 4, 5);
+  update.next.era = store_era(2);
+  fixture.configuration.OnUpdate(update);
+  CHECK(fixture.state.directory.IsEvacuated(failure_domain_id("ifo")));
+  CHECK(fixture.configuration.View().next.era == store_era(1));
+}
+
 // Guards against an older place after newer records were passed on during a read.
 TEST_CASE("a read that ends after newer records were passed on changes nothing", "[entry]") {
   configuration_fixture fixture;
