path_check: plain servers are probed at their health path

Change: a plain server is asked at the health path of its service; a connection alone counts only where there is none. Result: entry_carriage_test passes, now with plain servers whose connections hang, too.

--- a/include/waxwingwing/directory/traffic_configuration.h
+++ b/include/waxwingwing/directory/traffic_configuration.h
@@ -83,6 +83,8 @@
   std::size_t max_connections = 0;
   /// Capacity of a cold backend server, in requests a second; 0: no limit.
   double cold_rate = 0;
+  /// Path at which a server answers whether it is healthy; empty when it has none.
+  std::string health_path;
   /// Number of requests that one group runs concurrently.
   std::size_t group_slots = 0;
   /// Times of the service's groups; absent when the configuration does not state them.
--- a/include/waxwingwing/dispatch/dispatch_map.h
+++ b/include/waxwingwing/dispatch/dispatch_map.h
@@ -22,6 +22,8 @@
   std::uint64_t born = 0;
   std::string address;
   failure_domain_id failure_domain;
+  /// Path at which a server of a plain service answers health checks; empty when there is none.
+  std::string health_path = {};
   /// The group that the server heads; empty for plain services.
   server_group_id group;
   /// Number of requests that the server or its group runs concurrently.
--- a/include/waxwingwing/forward/forwarder.h
+++ b/include/waxwingwing/forward/forwarder.h
@@ -39,7 +39,8 @@
   virtual void OnDirectoryMismatch() = 0;
   /// Reports that a request of an organisation has begun to run: a server has begun its answer.
   virtual void OnRequestBegun(const organisation_id& /*organisation*/) {}
-  /// Asks the head of a group for its state; returns whether it has answered within `limit`.
+  /// Asks the head of a group for its state, or a plain server whether it is healthy; returns
+  /// whether it has answered anything within `limit`.
   virtual awaitable<bool> ProbeServer(dispatch_candidate server, milliseconds limit) = 0;
   /// Time since the configuration was last confirmed, for log lines.
   virtual duration ConfigurationAge() const = 0;
--- a/src/dispatch/dispatch_map.cc
+++ b/src/dispatch/dispatch_map.cc
@@ -58,7 +58,10 @@
                                   const traffic_configuration& configuration) {
   dispatch_candidate candidate = CandidateOf(known);
   const service_settings* service = configuration.ServiceById(known.server.service);
-  if (service != nullptr) candidate.cold_rate = service->cold_rate;
+  if (service != nullptr) {
+    candidate.cold_rate = service->cold_rate;
+    candidate.health_path = service->health_path;
+  }
   candidates_[{known.server.service, std::string()}].push_back(std::move(candidate));
 }
 
--- a/src/entry/entry_daemon.cc
+++ b/src/entry/entry_daemon.cc
@@ -152,6 +152,15 @@
   }
 
   awaitable<bool> ProbeServer(dispatch_candidate server, milliseconds limit) override {
+    if (server.group.empty()) {
+      http_request check;
+      check.address = server.address;
+      check.target = server.health_path;
+      check.timeout = limit;
+      check.service = "health";
+      const auto reply = co_await http_.Send(std::move(check));
+      co_return reply.has_value();
+    }
     formation_order probe;
     probe.action = formation_action::kProbe;
     probe.target = server.server;
--- a/src/forward/path_check.cc
+++ b/src/forward/path_check.cc
@@ -96,7 +96,8 @@
 }
 
 awaitable<bool> path_check::Probe(dispatch_candidate server) {
-  if (!server.group.empty()) co_return co_await core_.hooks.ProbeServer(server, kRoundLimit);
+  const bool answers_probes = !server.group.empty() || !server.health_path.empty();
+  if (answers_probes) co_return co_await core_.hooks.ProbeServer(server, kRoundLimit);
   co_return co_await core_.processes.TakesConnections(server.address);
 }
 
--- a/stand_ins/model_runner.cc
+++ b/stand_ins/model_runner.cc
@@ -171,6 +171,10 @@
     co_await exchange.AnswerText(200, report.dump(), std::move(headers));
     co_return;
   }
+  if (exchange.path() == "/healthz") {
+    co_await exchange.Answer(200, json::object());
+    co_return;
+  }
   if (exchange.path() == "/v1/order") {
     co_await HandleOrder(exchange);
     co_return;
--- a/tests/integration/entry_carriage_test.cc
+++ b/tests/integration/entry_carriage_test.cc
@@ -18,7 +18,7 @@
 constexpr milliseconds kRecoveryLimit{3000};
 constexpr milliseconds kServingLimit{10000};
 
-/// What happens to connections to the runners.
+/// What happens to connections to the servers.
 enum class cut_kind { kRefused, kSilent };
 
 /// A deployment of two entry VMs with proxies before the servers.
@@ -34,10 +34,7 @@
     const char* fault = kind == cut_kind::kRefused ? "refuse_process" : "hang_process";
     const nlohmann::json process = is_cut ? deployment.Entry(kCutOff).pid() : 0;
     for (const auto& runner : deployment.runners()) SetAt(runner->name(), fault, process);
-    // A proxy takes connections also when it forwards nothing, unlike a path that is lost.
-    for (const auto& service : deployment.services()) {
-      SetAt(service->name(), "refuse_process", process);
-    }
+    for (const auto& service : deployment.services()) SetAt(service->name(), fault, process);
   }
 
   bool IsServed(const std::string& path) const {
--- a/tests/integration/entry_deployment.cc
+++ b/tests/integration/entry_deployment.cc
@@ -159,20 +159,21 @@
   nlohmann::json lookup = route("lookup", "/lookup/", "idempotent");
   lookup["service"] = "desk";
   const nlohmann::json model = {{"name", "large"}, {"size", options_.group_size}, {"share", 1.0}};
-  return {{"version", version},
-          {"routes", {stream, once, lookup}},
-          {"services",
-           {{{"name", "pool"},
-             {"max_conns", 100},
-             {"cold_per_s", 26},
-             {"engine", {{"slots", 26}, {"models", {model}}}}},
-            {{"name", "desk"}, {"max_conns", 100}, {"cold_per_s", 0}}}},
-          {"limits",
-           {{"max_header_bytes", 16384},
-            {"max_body_bytes", options_.max_body_bytes},
-            {"header_timeout_ms", 3000},
-            {"idle_timeout_ms", 15000}}},
-          {"tenants", {{{"name", "first"}, {"api_keys", {kKey}}, {"priority", 1}}}}};
+  return {
+      {"version", version},
+      {"routes", {stream, once, lookup}},
+      {"services",
+       {{{"name", "pool"},
+         {"max_conns", 100},
+         {"cold_per_s", 26},
+         {"engine", {{"slots", 26}, {"models", {model}}}}},
+        {{"name", "desk"}, {"max_conns", 100}, {"cold_per_s", 0}, {"health_path", "/healthz"}}}},
+      {"limits",
+       {{"max_header_bytes", 16384},
+        {"max_body_bytes", options_.max_body_bytes},
+        {"header_timeout_ms", 3000},
+        {"idle_timeout_ms", 15000}}},
+      {"tenants", {{{"name", "first"}, {"api_keys", {kKey}}, {"priority", 1}}}}};
 }
 
 void entry_deployment::WriteRecord(const std::string& topic, const std::string& key,
