path_check: one slow server raises a doubt later than several silent ones

Change: silence while requests wait at fewer than three servers counts from 1 s; a round that was answered excuses silence for 3 s.

--- a/include/waxwingwing/dispatch/server_paths.h
+++ b/include/waxwingwing/dispatch/server_paths.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 
 #include "waxwingwing/core/clock.h"
@@ -11,10 +12,14 @@
 struct server_paths_options {
   /// Age up to which an answer shows that failures seen now are not those of the paths.
   milliseconds contact_lifetime{150};
-  /// Silence of all servers, while requests wait for them, after which the paths are in doubt.
+  /// Silence of all servers after which the paths are in doubt, while requests wait at several
+  /// servers, and while they wait at fewer: one server alone may take as long for its first event.
   milliseconds silence{300};
+  milliseconds lone_silence{1000};
+  /// Number of servers that count as several.
+  std::size_t several = 3;
   /// Time after a round of probes with an answer for which silence alone raises no other doubt.
-  milliseconds silence_pause{1500};
+  milliseconds silence_pause{3000};
   /// Rounds of probes without an answer after which the paths are lost, and with one after which
   /// they are back.
   int rounds_to_lose = 2;
@@ -38,8 +43,10 @@
   void RecordContact(time_point now);
   /// Records that a connection to a server failed or broke.
   void RecordFailure(time_point now);
-  /// Records that a request has been waiting for a server since `since`.
-  void RecordWait(time_point since, time_point now);
+  /// Records that requests have been waiting for these many servers since `since` or earlier.
+  void RecordWait(std::size_t servers, time_point since, time_point now);
+  /// Silence, while requests wait for these many servers, that raises a doubt.
+  milliseconds SilenceLimit(std::size_t servers) const;
   /// Records the end of a round of probes to several servers, which began at `began_at`.
   void RecordRound(bool is_answered, time_point began_at, time_point now);
 
--- a/src/dispatch/server_paths.cc
+++ b/src/dispatch/server_paths.cc
@@ -20,9 +20,14 @@
   if (state_ == state::kConnected && !HasRecentContact(now)) state_ = state::kInDoubt;
 }
 
-void server_paths::RecordWait(time_point since, time_point now) {
+milliseconds server_paths::SilenceLimit(std::size_t servers) const {
+  return servers >= options_.several ? options_.silence : options_.lone_silence;
+}
+
+void server_paths::RecordWait(std::size_t servers, time_point since, time_point now) {
   if (state_ != state::kConnected) return;
-  const bool is_silent = now - std::max(since, contact_at_.value_or(since)) >= options_.silence;
+  const duration silence = now - std::max(since, contact_at_.value_or(since));
+  const bool is_silent = silence >= SilenceLimit(servers);
   const bool is_checked = answered_round_at_ && now - *answered_round_at_ < options_.silence_pause;
   if (is_silent && !is_checked) state_ = state::kInDoubt;
 }
--- a/src/forward/forwarder.cc
+++ b/src/forward/forwarder.cc
@@ -254,6 +254,7 @@
       for (server_exchange* exchange : exchanges) {
         if (core_.exchanges.contains(exchange)) exchange->Check(now);
       }
+      core_.paths.CheckSilence();
       if (sessions_.empty()) {
         check_scheduled_ = false;
         return;
--- a/src/forward/path_check.cc
+++ b/src/forward/path_check.cc
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <map>
 #include <set>
 #include <utility>
 
 #include "forward/forward_core.h"
+#include "forward/server_exchange.h"
 #include "waxwingwing/platform/pause.h"
 
 namespace waxwingwing {
@@ -32,8 +34,24 @@
   StartWatch();
 }
 
-void path_check::RecordWait(time_point since) {
-  paths_.RecordWait(since, core_.Now());
+void path_check::CheckSilence() {
+  const time_point now = core_.Now();
+  if (core_.exchanges.empty() || paths_.HasRecentContact(now)) return;
+  // When the request began to wait that has waited longest, by server.
+  std::map<backend_server_id, time_point> waits;
+  for (const server_exchange* exchange : core_.exchanges) {
+    const auto since = exchange->waits_since();
+    if (!since) continue;
+    const auto [found, is_new] = waits.try_emplace(exchange->target().server, *since);
+    found->second = std::min(found->second, *since);
+  }
+  std::vector<time_point> since;
+  since.reserve(waits.size());
+  for (const auto& [server, began_at] : waits) since.push_back(began_at);
+  std::sort(since.begin(), since.end());
+  for (std::size_t servers = 1; servers <= since.size(); ++servers) {
+    paths_.RecordWait(servers, since[servers - 1], now);
+  }
   StartWatch();
 }
 
--- a/src/forward/path_check.h
+++ b/src/forward/path_check.h
@@ -23,8 +23,8 @@
   void RecordContact();
   /// Records that a connection to a server failed or broke.
   void RecordFailure();
-  /// Records that a request has been waiting for a server since `since`.
-  void RecordWait(time_point since);
+  /// Looks for requests that have been waiting while no server has sent anything.
+  void CheckSilence();
 
   bool IsLost() const { return paths_.IsLost(); }
   /// When the paths were lost last.
--- a/src/forward/server_exchange.cc
+++ b/src/forward/server_exchange.cc
@@ -387,7 +387,6 @@
   }
   // The carrier watches the server.
   if (plan_.is_carried) return;
-  core_.paths.RecordWait(*sent_at_);
   server_load& load = Load();
   if (!response_started_ && !congestion_noted_ && now - *sent_at_ > plan_.objective) {
     congestion_noted_ = true;
--- a/src/forward/server_exchange.h
+++ b/src/forward/server_exchange.h
@@ -131,6 +131,10 @@
   exchange_abort abort_reason() const { return abort_reason_; }
   const std::string& failure() const { return failure_; }
   bool response_started() const { return response_started_; }
+  /// When the request was sent, if it was sent to a server.
+  std::optional<time_point> waits_since() const {
+    return plan_.is_carried ? std::nullopt : sent_at_;
+  }
   /// Whether the response is a stream whose events are forwarded as they arrive.
   bool passes_events() const { return pass_events_; }
   /// Number of times that events arrived and were forwarded.
